--- /dev/null
+++ b/internal/control/demo.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/settings"
+	"github.com/hornbeamspan/hornbeamspan/lab/demonstrator"
+)
+
+func labDemo() *cobra.Command {
+	cmd := &cobra.Command{Use: "demo", Short: "Run the main job on a small system and check every answer", Args: cobra.NoArgs}
+	r := settings.Add(cmd, envPrefix+"_DEMO", []settings.Option{
+		{Name: "dir", Default: "out/demo", Doc: "folder for the logs of all processes"},
+	})
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		bin, err := binFolder()
+		if err != nil {
+			return err
+		}
+		return demonstrator.Run(cmd.Context(), bin, r.Text("dir"), cmd.OutOrStdout())
+	}
+	return cmd
+}
+
+// binFolder returns the folder of this program, where the daemon is too.
+func binFolder() (string, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return "", errorx.Decorate(err, "control: unable to find the programs")
+	}
+	return filepath.Dir(path), nil
+}
--- /dev/null
+++ b/internal/control/lab.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/settings"
+	"github.com/hornbeamspan/hornbeamspan/lab/hostlister"
+	"github.com/hornbeamspan/hornbeamspan/lab/inferrer"
+	"github.com/hornbeamspan/hornbeamspan/lab/logkeeper"
+	"github.com/hornbeamspan/hornbeamspan/lab/servicer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+	"github.com/hornbeamspan/hornbeamspan/transport/listener"
+)
+
+// leavePoll is the time between two looks whether a leaving stand-in is idle.
+const leavePoll = 20 * time.Millisecond
+
+func labCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "lab", Short: "Run small stand-ins of the platform and of endpoints, and load"}
+	cmd.AddCommand(labLog(), labHosts(), labEngine(), labService(), labLoad(), labDemo(), labMeasure())
+	return cmd
+}
+
+var listenOption = settings.Option{Name: "listen", Default: "127.0.0.1:0", Doc: "address to listen on"}
+
+// standCommand is a command that runs a stand-in until a signal comes.
+func standCommand(use, short string, options []settings.Option, run func(r *settings.Reader) error) *cobra.Command {
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
+	reader := settings.Add(cmd, envPrefix+"_LAB", append([]settings.Option{listenOption}, options...))
+	cmd.RunE = func(*cobra.Command, []string) error {
+		eventer.New("lab", "warn", false, os.Stderr)
+		return run(reader)
+	}
+	return cmd
+}
+
+// serve runs routes until a signal comes.
+func serve(name string, address netip.AddrPort, routes []rest.Route, subtrees map[string]http.HandlerFunc, leave func()) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	l, err := listener.Listen(listener.Options{Name: name, Address: address, Routes: routes, Subtrees: subtrees})
+	if err != nil {
+		return err
+	}
+	<-signals
+	leave()
+	l.Close()
+	return nil
+}
+
+func labLog() *cobra.Command {
+	return standCommand("log", "Run a stand-in of the log service", []settings.Option{
+		{Name: "retention", Default: "0s", Doc: "how long records are kept; 0 keeps them for good"},
+		{Name: "rate", Default: "400", Doc: "appends per second"},
+		{Name: "burst", Default: "100", Doc: "appends that may come at once"},
+	}, func(r *settings.Reader) error {
+		address := r.Address("listen")
+		o := logkeeper.Options{
+			Retention: r.Duration("retention", 0),
+			Rate:      limiter.Rate{PerSecond: r.Number("rate", 0), Burst: r.Number("burst", 1)},
+		}
+		if err := r.Err(); err != nil {
+			return err
+		}
+		return serve("log", address, logkeeper.New(o).Routes(), nil, func() {})
+	})
+}
+
+func labHosts() *cobra.Command {
+	return standCommand("hosts", "Run a stand-in of the host list", []settings.Option{
+		{Name: "lag", Default: "1s", Doc: "how late changes are shown"},
+	}, func(r *settings.Reader) error {
+		address, lag := r.Address("listen"), r.Duration("lag", 0)
+		if err := r.Err(); err != nil {
+			return err
+		}
+		return serve("hosts", address, hostlister.New(lag).Routes(), nil, func() {})
+	})
+}
+
+var endpointOptions = []settings.Option{
+	{Name: "name", Default: "", Doc: "name of the endpoint"},
+	{Name: "pool", Default: "", Doc: "pool of the endpoint"},
+	{Name: "zone", Default: "default", Doc: "data centre of the endpoint"},
+	{Name: "hosts", Default: "127.0.0.1:8201", Doc: "address of the host list"},
+}
+
+// member enters an endpoint into the host list. The returned function tells the list a state.
+func member(r *settings.Reader, address netip.AddrPort) func(state string) {
+	hosts := finder.New(r.Address("hosts"))
+	e := finder.Endpoint{Name: r.Required("name"), Pool: r.Required("pool"), Address: address, DataCentre: r.Text("zone")}
+	return func(state string) {
+		e.State = state
+		_ = hosts.Put(context.Background(), e)
+	}
+}
+
+// leaver is an endpoint that can stop taking new work.
+type leaver interface {
+	Leave()
+	Idle() bool
+}
+
+func leaveList(tell func(string), l leaver) func() {
+	return func() {
+		tell(finder.Leaving)
+		l.Leave()
+		for !l.Idle() {
+			time.Sleep(leavePoll)
+		}
+		tell(finder.Gone)
+	}
+}
+
+func labEngine() *cobra.Command {
+	return standCommand("engine", "Run a stand-in of a model engine", append(endpointOptions, []settings.Option{
+		{Name: "role", Default: "prefill", Doc: "prefill or decode"},
+		{Name: "slots", Default: "20", Doc: "requests decoded together"},
+		{Name: "blocks", Default: "2000", Doc: "KV memory in blocks"},
+		{Name: "block-tokens", Default: "64", Doc: "tokens in a block"},
+		{Name: "rate", Default: "20000", Doc: "prefill speed in tokens per second"},
+		{Name: "step", Default: "10ms", Doc: "time per output token"},
+		{Name: "hold", Default: "800ms", Doc: "how long a prefill's result is kept"},
+		{Name: "link-rate", Default: "200000", Doc: "KV export speed in tokens per second"},
+		{Name: "report-lag", Default: "1s", Doc: "age of the load report"},
+		{Name: "cache", Default: "50000", Doc: "prefix cache in tokens"},
+		{Name: "crash-word", Default: "", Doc: "a prompt with this word ends the process"},
+	}...), runEngine)
+}
+
+func runEngine(r *settings.Reader) error {
+	address := r.Address("listen")
+	o := inferrer.Options{
+		Name: r.Required("name"), Role: r.OneOf("role", inferrer.RolePrefill, inferrer.RoleDecode), Address: address.String(),
+		Slots: r.Integer("slots", 1, 1000), Blocks: r.Integer("blocks", 1, 1<<30), BlockTokens: r.Integer("block-tokens", 1, 1<<20),
+		Rate: r.Number("rate", 1), Step: r.Duration("step", time.Millisecond), Hold: r.Duration("hold", time.Millisecond),
+		LinkRate: r.Number("link-rate", 1), ReportLag: r.Duration("report-lag", 0), CacheTokens: r.Integer("cache", 0, 1<<30),
+		CrashWord: r.Text("crash-word"),
+	}
+	tell := member(r, address)
+	if err := r.Err(); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	e := inferrer.New(ctx, o)
+	tell(finder.Live)
+	return serve("engine", address, e.Routes(), nil, leaveList(tell, e))
+}
+
+func labService() *cobra.Command {
+	return standCommand("service", "Run a stand-in of a plain service", append(endpointOptions, []settings.Option{
+		{Name: "delay", Default: "10ms", Doc: "time that a call takes"},
+	}...), func(r *settings.Reader) error {
+		address, delay := r.Address("listen"), r.Duration("delay", 0)
+		tell := member(r, address)
+		if err := r.Err(); err != nil {
+			return err
+		}
+		s := servicer.New(delay)
+		tell(finder.Live)
+		routes := s.Routes()
+		subtrees := map[string]http.HandlerFunc{"/": func(w http.ResponseWriter, r *http.Request) {
+			for _, route := range routes {
+				if route.Path == r.URL.Path && route.Method == r.Method {
+					route.Handler(w, r)
+					return
+				}
+			}
+			s.Call(w, r)
+		}}
+		return serve("service", address, nil, subtrees, leaveList(tell, s))
+	})
+}
--- /dev/null
+++ b/internal/control/load.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/settings"
+	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+)
+
+var loadOptions = []settings.Option{
+	{Name: "callers", Default: "127.0.0.1:8100", Doc: "callers' addresses of some hosts, with commas"},
+	{Name: "hosts", Default: "127.0.0.1:8201", Doc: "address of the host list, for the engines' counts"},
+	{Name: "token", Default: "lab-token", Doc: "bearer token of the organisation"},
+	{Name: "model", Default: "writer", Doc: "model of generated requests"},
+	{Name: "service", Default: "desk", Doc: "service of lookups and once calls"},
+	{Name: "seed", Default: "1", Doc: "seed of arrivals, lengths and mix"},
+	{Name: "duration", Default: "10s", Doc: "time over which requests arrive"},
+	{Name: "summaries", Default: "10", Doc: "generated requests per second"},
+	{Name: "lookups", Default: "10", Doc: "lookups per second"},
+	{Name: "onces", Default: "2", Doc: "once calls per second"},
+	{Name: "prompt", Default: "1000", Doc: "mean prompt tokens"},
+	{Name: "output", Default: "50", Doc: "mean output tokens"},
+	{Name: "prefixes", Default: "20", Doc: "shared prompt prefixes"},
+	{Name: "prefix-size", Default: "256", Doc: "tokens of a shared prefix"},
+	{Name: "cancel", Default: "0", Doc: "share of callers that leave after the first token"},
+	{Name: "start", Default: "390ms", Doc: "target to the first token"},
+	{Name: "finish", Default: "3s", Doc: "target to the last token"},
+	{Name: "lookup-finish", Default: "200ms", Doc: "target of lookups and once calls"},
+	{Name: "json", Default: "false", Doc: "print JSON after the table"},
+}
+
+func labLoad() *cobra.Command {
+	cmd := &cobra.Command{Use: "load", Short: "Send a load of a seed and print what became of it", Args: cobra.NoArgs}
+	r := settings.Add(cmd, envPrefix+"_LOAD", loadOptions)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		shape := loader.Shape{
+			Seed: uint64(r.Integer("seed", 0, 1<<31)), Duration: r.Duration("duration", time.Millisecond),
+			Summaries: r.Number("summaries", 0), Lookups: r.Number("lookups", 0), Onces: r.Number("onces", 0),
+			Prompt: r.Integer("prompt", 1, 1<<20), Output: r.Integer("output", 1, 1<<15),
+			Prefixes: r.Integer("prefixes", 0, 1<<20), PrefixSize: r.Integer("prefix-size", 0, 1<<20), Cancel: r.Number("cancel", 0),
+		}
+		targets := loader.Targets{
+			Start: r.Duration("start", 1), Finish: r.Duration("finish", 1), Lookup: r.Duration("lookup-finish", 1),
+		}
+		caller := loader.NewCaller(r.Addresses("callers"), r.Text("token"), r.Text("model"), r.Text("service"))
+		hosts := finder.New(r.Address("hosts"))
+		asJSON := r.Flag("json")
+		if err := r.Err(); err != nil {
+			return err
+		}
+		result := loader.Run(cmd.Context(), caller, shape, targets, hosts, os.Stderr)
+		result.Write(cmd.OutOrStdout())
+		if asJSON {
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(result)
+		}
+		return nil
+	}
+	return cmd
+}
--- /dev/null
+++ b/internal/control/rules.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"text/tabwriter"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/settings"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+)
+
+func rulesCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "rules", Short: "Check, publish and show the rule file"}
+	cmd.AddCommand(
+		&cobra.Command{
+			Use: "check FILE", Short: "Check a rule file and print every fault with its line and column", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error { return check(cmd, args[0]) },
+		},
+		hostCommand("publish FILE", "Publish a rule file; prints accepted, refused, unknown or not_published", []settings.Option{
+			{Name: "author", Default: os.Getenv("USER"), Doc: "who publishes"},
+			{Name: "base", Default: "-1", Doc: "version that the file was made from; -1 takes the one in force"},
+			{Name: "id", Default: "", Doc: "ID of the publication; give it again to ask again after unknown"},
+		}, publish),
+		hostCommand("show", "Print the rule file in force", nil, show),
+		hostCommand("history", "Print the publications of the last day", nil, history),
+	)
+	return cmd
+}
+
+func check(cmd *cobra.Command, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errorx.Decorate(err, "control: unable to read the rule file")
+	}
+	if err := parser.Check(string(text)); err != nil {
+		return errorx.Decorate(err, "control: unable to accept %s", path)
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), "valid")
+	return nil
+}
+
+// VerdictError reports a publication that was not accepted.
+type VerdictError struct {
+	ID      string
+	Verdict string
+	Reason  string
+}
+
+func (e *VerdictError) Error() string {
+	return fmt.Sprintf("control: unable to put publication %s in force: %s: %s", e.ID, e.Verdict, e.Reason)
+}
+
+func publish(cmd *cobra.Command, c *client, r *settings.Reader, args []string) error {
+	if len(args) != 1 {
+		return errorx.IllegalArgument.New("control: unable to publish: name one rule file")
+	}
+	text, err := os.ReadFile(args[0])
+	if err != nil {
+		return errorx.Decorate(err, "control: unable to read the rule file")
+	}
+	if err := parser.Check(string(text)); err != nil {
+		return errorx.Decorate(err, "control: unable to publish %s", args[0])
+	}
+	p := overseer.Publication{ID: r.Text("id"), Author: r.Required("author"), Text: string(text)}
+	base := r.Integer("base", -1, 1<<40)
+	if err := r.Err(); err != nil {
+		return err
+	}
+	if p.ID == "" {
+		p.ID = uuid.NewString()
+	}
+	p.Base = uint64(max(base, 0))
+	if base < 0 {
+		file, err := ask[overseer.RuleFile](cmd.Context(), c, http.MethodGet, "/v1/rules", nil)
+		if err != nil {
+			return err
+		}
+		p.Base = file.Version
+	}
+	return report(cmd, c, p)
+}
+
+func report(cmd *cobra.Command, c *client, p overseer.Publication) error {
+	v, err := ask[overseer.Verdict](cmd.Context(), c, http.MethodPost, "/v1/rules", p)
+	if err != nil {
+		return &VerdictError{ID: p.ID, Verdict: overseer.Unclear, Reason: err.Error()}
+	}
+	if v.Verdict != overseer.Accepted {
+		return &VerdictError{ID: v.ID, Verdict: v.Verdict, Reason: v.Reason}
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "accepted version %d, in force on %d hosts", v.Version, len(v.InForce))
+	if len(v.Behind) > 0 {
+		fmt.Fprintf(cmd.OutOrStdout(), ", not yet on %v", v.Behind)
+	}
+	fmt.Fprintln(cmd.OutOrStdout())
+	return nil
+}
+
+func show(cmd *cobra.Command, c *client, _ *settings.Reader, _ []string) error {
+	f, err := ask[overseer.RuleFile](cmd.Context(), c, http.MethodGet, "/v1/rules", nil)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "version %d by %s\n", f.Version, f.Author)
+	fmt.Fprint(cmd.OutOrStdout(), f.Text)
+	return nil
+}
+
+func history(cmd *cobra.Command, c *client, _ *settings.Reader, _ []string) error {
+	h, err := ask[overseer.History](cmd.Context(), c, http.MethodGet, "/v1/rules/history", nil)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	for _, d := range h.Publications {
+		verdict := overseer.Refused
+		if d.Accepted {
+			verdict = overseer.Accepted
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", d.Time.Format("2006-01-02T15:04:05Z07:00"), d.Author, verdict, d.Version, d.ID, d.Reason)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/settings"
+	"github.com/hornbeamspan/hornbeamspan/internal/version"
+	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+)
+
+// Command returns the root command of the daemon.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "hornbeamspan",
+		Short: "Entry host of a router for prefill and decode pools and plain services",
+		Long: `hornbeamspan serves callers on one entry host. Every host is equal; start as many as you like with each other's
+--seeds. Each option can be set by its flag or by the environment variable named behind it.
+
+SIGTERM drains: the host leaves the addresses given to callers, serves on until callers have forgotten them, finishes
+what is in flight and exits. A second SIGTERM ends at once.`,
+		Version:       version.Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+	}
+	reader := addOptions(root)
+	root.RunE = func(*cobra.Command, []string) error { return run(reader) }
+	root.AddCommand(&cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version.Version) },
+	})
+	return root
+}
+
+func run(r *settings.Reader) error {
+	cfg, err := read(r)
+	if err != nil {
+		return err
+	}
+	logs := eventer.New("hornbeamspan", r.Text("log-level"), r.Text("log-format") == "json", os.Stderr)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	host, err := assembler.Start(cfg, logs)
+	if err != nil {
+		return err
+	}
+	<-signals
+	return drain(host, signals, logs)
+}
+
+// drain ends at once on a second signal.
+func drain(host *assembler.Host, signals <-chan os.Signal, logs hclog.Logger) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go host.Drain(ctx)
+	select {
+	case <-host.Done():
+	case <-signals:
+		eventer.Warn(logs, eventer.Stopped, "reason", "second signal")
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/demonstrator/demonstrator.go
@@ -0,0 +1,201 @@
+// Package demonstrator runs the main job on a small system of real processes and checks every answer.
+package demonstrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/inferrer"
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+	"github.com/hornbeamspan/hornbeamspan/lab/servicer"
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+)
+
+const (
+	// documentWords is the length of the long document.
+	documentWords = 3000
+	// summaryTokens is the length of its summary.
+	summaryTokens = 60
+	// shownWords is the number of words of an answer that are printed.
+	shownWords = 8
+	// hostsNeeded is the number of hosts of the demonstration.
+	hostsNeeded = 3
+)
+
+// CheckError reports an answer of the demonstration that was not right.
+type CheckError struct {
+	Step   string
+	Reason string
+}
+
+func (e *CheckError) Error() string {
+	return fmt.Sprintf("demonstrator: unable to confirm %s: %s", e.Step, e.Reason)
+}
+
+// Spec is the system of the demonstration.
+func Spec(bin, dir string) launcher.Spec {
+	return launcher.Spec{Bin: bin, Dir: dir, Hosts: hostsNeeded, Zones: 2, Prefill: 2, Decode: 2, Services: 1}
+}
+
+// Run starts the system, goes through the steps and ends every process again.
+func Run(ctx context.Context, bin, dir string, w io.Writer) error {
+	system, err := launcher.Start(ctx, Spec(bin, dir))
+	if err != nil {
+		return err
+	}
+	defer system.Stop()
+	fmt.Fprintf(w, "started %d hosts, %d engines, %d service, a log and a host list\n", len(system.Hosts), len(system.Engines), len(system.Services))
+	if err := publishRules(ctx, system, w); err != nil {
+		return err
+	}
+	if err := system.AwaitReady(ctx); err != nil {
+		return err
+	}
+	caller := loader.NewCaller([]netip.AddrPort{system.Hosts[0].Address}, launcher.Token, "writer", "desk")
+	for _, step := range []func(context.Context, *launcher.System, *loader.Caller, io.Writer) error{summarise, openTicket, lookup, publishAgain} {
+		if err := step(ctx, system, caller, w); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(w, "every answer was right")
+	return nil
+}
+
+// Publish publishes text on top of base through a host and returns the verdict.
+func Publish(ctx context.Context, host *launcher.Process, id string, base uint64, text string) (overseer.Verdict, error) {
+	var v overseer.Verdict
+	data, err := json.Marshal(overseer.Publication{ID: id, Base: base, Author: "lab", Text: text})
+	if err != nil {
+		return v, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/rules", host.Operators), bytes.NewReader(data))
+	if err != nil {
+		return v, err
+	}
+	r.Header.Set("Authorization", "Bearer "+launcher.OperatorKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return v, errorx.Decorate(err, "demonstrator: unable to publish")
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&v)
+	return v, err
+}
+
+func publishRules(ctx context.Context, s *launcher.System, w io.Writer) error {
+	v, err := Publish(ctx, s.Hosts[0], "demo-1", 0, launcher.Rules(launcher.DefaultTargets))
+	if err != nil {
+		return err
+	}
+	if v.Verdict != overseer.Accepted || len(v.InForce) != hostsNeeded {
+		return &CheckError{Step: "the first rules", Reason: fmt.Sprintf("%+v", v)}
+	}
+	fmt.Fprintf(w, "rules: version %d in force on %s\n", v.Version, strings.Join(v.InForce, ", "))
+	return nil
+}
+
+func summarise(ctx context.Context, _ *launcher.System, c *loader.Caller, w io.Writer) error {
+	words := make([]string, documentWords)
+	for i := range words {
+		words[i] = fmt.Sprintf("brief%d", i)
+	}
+	prompt := strings.Join(words, " ")
+	r := c.Complete(ctx, netip.AddrPort{}, "demo-summary", prompt, summaryTokens, false)
+	if r.Err != nil {
+		return r.Err
+	}
+	if !r.Whole || r.Text != inferrer.Answer(prompt+"\n", summaryTokens) {
+		return &CheckError{Step: "the summary", Reason: fmt.Sprintf("status %d %s, %d bytes, whole %t", r.Status, r.Code, len(r.Text), r.Whole)}
+	}
+	shown := strings.Join(strings.Fields(r.Text)[:shownWords], " ")
+	fmt.Fprintf(w, "summary: %d words read, %d tokens streamed, first after %d ms, last after %d ms: %s …\n",
+		documentWords, summaryTokens, r.Start.Milliseconds(), r.Finish.Milliseconds(), shown)
+	return nil
+}
+
+// openTicket sends the same ticket at every host at once and counts how often it ran.
+func openTicket(ctx context.Context, s *launcher.System, c *loader.Caller, w io.Writer) error {
+	replies := make(chan loader.Reply)
+	for _, h := range s.Hosts {
+		go func() { replies <- c.Call(ctx, h.Address, http.MethodPost, c.Path, "demo-ticket", []byte("gas odour")) }()
+	}
+	for range s.Hosts {
+		r := <-replies
+		if r.Err != nil {
+			return r.Err
+		}
+		if r.Status != http.StatusOK || r.Outcome != "done" {
+			return &CheckError{Step: "the ticket", Reason: fmt.Sprintf("status %d, outcome %s: %s", r.Status, r.Outcome, r.Body)}
+		}
+	}
+	runs, err := Runs(ctx, s)
+	if err != nil {
+		return err
+	}
+	if runs["demo-ticket"] != 1 {
+		return &CheckError{Step: "the ticket", Reason: fmt.Sprintf("it ran %d times", runs["demo-ticket"])}
+	}
+	fmt.Fprintf(w, "ticket: sent to %d hosts at once, answered %d times, ran once\n", len(s.Hosts), len(s.Hosts))
+	return nil
+}
+
+// Runs returns how often each key ran, over all services.
+func Runs(ctx context.Context, s *launcher.System) (map[string]int, error) {
+	total := make(map[string]int)
+	for _, p := range s.Services {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/lab/runs", p.Address), nil)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return nil, errorx.Decorate(err, "demonstrator: unable to count runs")
+		}
+		var runs servicer.Runs
+		err = json.NewDecoder(resp.Body).Decode(&runs)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		for key, n := range runs.ByKey {
+			total[key] += n
+		}
+	}
+	return total, nil
+}
+
+func lookup(ctx context.Context, _ *launcher.System, c *loader.Caller, w io.Writer) error {
+	r := c.Call(ctx, netip.AddrPort{}, http.MethodGet, c.LookupPath+"/42", "", nil)
+	if r.Err != nil {
+		return r.Err
+	}
+	if r.Status != http.StatusOK {
+		return &CheckError{Step: "the lookup", Reason: fmt.Sprintf("status %d: %s", r.Status, r.Body)}
+	}
+	fmt.Fprintf(w, "lookup: answered after %.1f ms\n", float64(r.Finish.Microseconds())/1000)
+	return nil
+}
+
+func publishAgain(ctx context.Context, s *launcher.System, _ *loader.Caller, w io.Writer) error {
+	text := launcher.Rules(launcher.DefaultTargets) + "pool spare kind=service # lab: an operator's change\n"
+	begin := time.Now()
+	v, err := Publish(ctx, s.Hosts[1], "demo-2", 1, text)
+	if err != nil {
+		return err
+	}
+	if v.Verdict != overseer.Accepted || len(v.InForce) != hostsNeeded {
+		return &CheckError{Step: "the second rules", Reason: fmt.Sprintf("%+v", v)}
+	}
+	fmt.Fprintf(w, "rules: version %d in force on %s after %d ms\n", v.Version, strings.Join(v.InForce, ", "), time.Since(begin).Milliseconds())
+	return nil
+}
--- /dev/null
+++ b/lab/hostlister/hostlister.go
@@ -0,0 +1,98 @@
+// Package hostlister is a small stand-in for the platform's lagging list of live and leaving hosts.
+package hostlister
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+)
+
+type change struct {
+	at       time.Time
+	endpoint finder.Endpoint
+}
+
+// List shows each change only after a lag.
+type List struct {
+	lag     time.Duration
+	mu      sync.Mutex
+	pending []change
+	shown   map[string]finder.Endpoint
+	down    bool
+}
+
+// New returns an empty list that lags by lag.
+func New(lag time.Duration) *List {
+	return &List{lag: lag, shown: make(map[string]finder.Endpoint)}
+}
+
+// Routes returns the list's HTTP interface.
+func (l *List) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/hosts", Handler: l.get},
+		{Method: http.MethodPut, Path: "/v1/hosts", Handler: l.put},
+		{Method: http.MethodPut, Path: "/v1/faults", Handler: l.setFaults},
+	}
+}
+
+func (l *List) put(w http.ResponseWriter, r *http.Request) {
+	var e finder.Endpoint
+	if err := json.NewDecoder(r.Body).Decode(&e); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, change{at: time.Now().Add(l.lag), endpoint: e})
+	httpx.Ok(w)
+}
+
+func (l *List) get(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		panic(http.ErrAbortHandler)
+	}
+	l.show(time.Now())
+	list := slices.SortedFunc(maps.Values(l.shown), func(a, b finder.Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	httpx.OkJson(w, finder.Listing{Endpoints: list})
+}
+
+func (l *List) show(now time.Time) {
+	n := 0
+	for ; n < len(l.pending) && !l.pending[n].at.After(now); n++ {
+		e := l.pending[n].endpoint
+		if e.State == finder.Gone {
+			delete(l.shown, e.Name)
+			continue
+		}
+		l.shown[e.Name] = e
+	}
+	l.pending = l.pending[n:]
+}
+
+// Faults are the list's switches.
+type Faults struct {
+	Outage bool `json:"outage"`
+}
+
+func (l *List) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = f.Outage
+	httpx.OkJson(w, f)
+}
--- /dev/null
+++ b/lab/inferrer/engine.go
@@ -0,0 +1,319 @@
+package inferrer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
+)
+
+// The roles of an engine.
+const (
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+)
+
+// Options are the settings of an engine.
+type Options struct {
+	Name string
+	Role string
+	// Address is where other engines fetch KV cache from.
+	Address string
+	// Slots is the number of requests decoded together.
+	Slots int
+	// Blocks and BlockTokens are the size of the KV memory.
+	Blocks      int
+	BlockTokens int
+	// Rate is the speed of prefill in tokens per second.
+	Rate float64
+	// Step is the time per output token.
+	Step time.Duration
+	// Hold is how long a prefill's result is kept.
+	Hold time.Duration
+	// LinkRate is the speed of KV export in tokens per second.
+	LinkRate float64
+	// ReportLag is the age of the load report.
+	ReportLag time.Duration
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int
+	// CrashWord in a prompt ends the process.
+	CrashWord string
+}
+
+var (
+	errCancelled = errors.New("inferrer: cancelled")
+	errMemory    = errors.New("inferrer: no KV memory is free")
+	errExpired   = errors.New("inferrer: KV cache is no longer held")
+)
+
+// flightKey names one attempt of a request.
+type flightKey struct {
+	id      string
+	attempt uint64
+}
+
+type flight struct {
+	blocks   int
+	priority int
+	cancel   context.CancelFunc
+	next     int
+}
+
+// Engine computes made-up tokens at a set speed.
+type Engine struct {
+	options     Options
+	incarnation string
+	client      *http.Client
+	mu          sync.Mutex
+	flights     map[flightKey]*flight
+	tombstones  map[flightKey]time.Time
+	queue       *turnstile
+	slots       *turnstile
+	link        sync.Mutex
+	held        map[string]*result
+	cache       *prefixes
+	load        completer.Load
+	backlog     int
+	leaving     bool
+	counts      Counts
+	step        chan struct{}
+}
+
+// tombstoneAge is how long a cancelled attempt is refused.
+const tombstoneAge = 30 * time.Second
+
+// New returns an engine. Its load report is renewed until ctx ends.
+func New(ctx context.Context, o Options) *Engine {
+	e := &Engine{
+		options:     o,
+		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		client:      &http.Client{},
+		flights:     make(map[flightKey]*flight),
+		tombstones:  make(map[flightKey]time.Time),
+		queue:       newTurnstile(1),
+		slots:       newTurnstile(o.Slots),
+		held:        make(map[string]*result),
+		cache:       newPrefixes(o.CacheTokens),
+		step:        make(chan struct{}),
+	}
+	e.load = e.current()
+	go e.report(ctx)
+	go e.tick(ctx)
+	return e
+}
+
+// Routes returns the engine's HTTP interface.
+func (e *Engine) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: e.complete},
+		{Method: http.MethodGet, Path: "/v1/load", Handler: e.getLoad},
+		{Method: http.MethodGet, Path: "/v1/state", Handler: e.getState},
+		{Method: http.MethodDelete, Path: "/v1/requests", Handler: e.cancel},
+		{Method: http.MethodGet, Path: "/v1/requests", Handler: e.getState},
+		{Method: http.MethodGet, Path: "/v1/kv", Handler: e.export},
+	}
+}
+
+// Leave makes the engine refuse new work.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Idle tells whether no request holds anything.
+func (e *Engine) Idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.flights) == 0 && len(e.held) == 0
+}
+
+func (e *Engine) report(ctx context.Context) {
+	ticker := time.NewTicker(max(e.options.ReportLag, 10*time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.mu.Lock()
+			e.load = e.current()
+			e.mu.Unlock()
+		}
+	}
+}
+
+// tick lets all running requests make one token per step.
+func (e *Engine) tick(ctx context.Context) {
+	ticker := time.NewTicker(max(e.options.Step, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.mu.Lock()
+			close(e.step)
+			e.step = make(chan struct{})
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *Engine) nextStep() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.step
+}
+
+// current returns the load at this moment. The caller holds mu, or is the only one.
+func (e *Engine) current() completer.Load {
+	held := 0
+	for _, f := range e.flights {
+		held += f.blocks
+	}
+	for _, r := range e.held {
+		held += r.blocks
+	}
+	running, waiting := e.slots.counts()
+	if e.options.Role == RolePrefill {
+		running, waiting = e.queue.counts()
+	}
+	return completer.Load{
+		Engine: e.options.Name, Incarnation: e.incarnation, Role: e.options.Role, Leaving: e.leaving,
+		Running: running, Waiting: waiting, Slots: e.options.Slots,
+		Held: held, Blocks: e.options.Blocks, BlockTokens: e.options.BlockTokens,
+		Backlog: e.backlog, Rate: e.options.Rate, StepMillis: float64(e.options.Step) / float64(time.Millisecond),
+	}
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.load
+	l.Leaving = e.leaving
+	httpx.OkJson(w, l)
+}
+
+func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := State{Load: e.current(), Counts: e.counts, Flights: []Flight{}}
+	for k, f := range e.flights {
+		s.Flights = append(s.Flights, Flight{ID: k.id, Attempt: k.attempt, Blocks: f.blocks})
+	}
+	for handle, r := range e.held {
+		s.Flights = append(s.Flights, Flight{ID: handle, Attempt: r.key.attempt, Blocks: r.blocks})
+	}
+	httpx.OkJson(w, s)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var req completer.Request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt := completer.Prompt(req.Messages)
+	if e.options.CrashWord != "" && strings.Contains(prompt, e.options.CrashWord) {
+		os.Exit(1)
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	key := flightKey{id: req.RequestID, attempt: req.Attempt}
+	if status := e.enter(key, req, cancel); status != 0 {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	defer e.leave(key)
+	if e.options.Role == RolePrefill {
+		e.servePrefill(ctx, w, key, req, prompt)
+		return
+	}
+	e.serveDecode(ctx, w, key, req, prompt)
+}
+
+// enter admits an attempt unless it was cancelled before or the engine leaves.
+func (e *Engine) enter(key flightKey, req completer.Request, cancel context.CancelFunc) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.tombstones[key]; ok {
+		return http.StatusConflict
+	}
+	if e.leaving {
+		return http.StatusServiceUnavailable
+	}
+	if _, ok := e.flights[key]; ok {
+		return http.StatusConflict
+	}
+	e.flights[key] = &flight{priority: req.Priority, cancel: cancel}
+	return 0
+}
+
+func (e *Engine) leave(key flightKey) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.flights, key)
+}
+
+// reserve takes KV memory for an attempt.
+func (e *Engine) reserve(key flightKey, tokens int) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	blocks := (tokens + e.options.BlockTokens - 1) / e.options.BlockTokens
+	if e.current().Held+blocks > e.options.Blocks {
+		return errMemory
+	}
+	e.flights[key].blocks = blocks
+	return nil
+}
+
+// Cancelled is the answer to a cancellation. Known tells whether the attempt held anything.
+type Cancelled struct {
+	Known bool `json:"known"`
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	attempt, err := strconv.ParseUint(r.URL.Query().Get("attempt"), 10, 64)
+	if err != nil {
+		http.Error(w, "attempt: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := flightKey{id: r.URL.Query().Get("id"), attempt: attempt}
+	known := e.cancelFlight(key)
+	httpx.OkJson(w, Cancelled{Known: known})
+}
+
+func (e *Engine) cancelFlight(key flightKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for k, at := range e.tombstones {
+		if now.Sub(at) > tombstoneAge {
+			delete(e.tombstones, k)
+		}
+	}
+	e.tombstones[key] = now
+	f, ok := e.flights[key]
+	if ok {
+		f.cancel()
+		e.counts.Cancelled++
+	}
+	for handle, held := range e.held {
+		if held.key == key {
+			e.drop(handle)
+			ok = true
+		}
+	}
+	return ok
+}
--- /dev/null
+++ b/lab/inferrer/prefill.go
@@ -0,0 +1,193 @@
+package inferrer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
+)
+
+// result is the KV cache of a finished prefill, kept until it is exported, released or expired.
+type result struct {
+	key     flightKey
+	tokens  int
+	blocks  int
+	timer   *time.Timer
+	fetched bool
+}
+
+func (e *Engine) servePrefill(ctx context.Context, w http.ResponseWriter, key flightKey, req completer.Request, prompt string) {
+	tokens := completer.Tokens(prompt)
+	if err := e.reserve(key, tokens); err != nil {
+		http.Error(w, err.Error(), http.StatusInsufficientStorage)
+		return
+	}
+	cached, err := e.compute(ctx, req.Priority, prompt, tokens)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	handle := e.hold(key, tokens)
+	e.mu.Lock()
+	load := e.current()
+	e.mu.Unlock()
+	httpx.OkJson(w, completer.PrefillAnswer{
+		ID:    req.RequestID,
+		Usage: completer.Usage{PromptTokens: tokens, CachedTokens: cached},
+		Load:  load,
+		Transfer: completer.Transfer{
+			RemotePrefill: true, RemoteEngine: e.options.Name, RemoteHandle: handle,
+			RemoteAddress: e.options.Address, HoldMillis: e.options.Hold.Milliseconds(),
+		},
+	})
+}
+
+// compute waits for the engine's turn and reads the part of the prompt that is not cached.
+func (e *Engine) compute(ctx context.Context, priority int, prompt string, tokens int) (cached int, err error) {
+	e.addBacklog(tokens)
+	defer e.addBacklog(-tokens)
+	if err := e.queue.enter(ctx, priority); err != nil {
+		return 0, errCancelled
+	}
+	defer e.queue.leave()
+	cached = e.cache.match(prompt)
+	begin := time.Now()
+	need := time.Duration(float64(tokens-cached) / e.options.Rate * float64(time.Second))
+	select {
+	case <-time.After(need):
+	case <-ctx.Done():
+		done := min(tokens-cached, int(time.Since(begin).Seconds()*e.options.Rate))
+		e.count(func(c *Counts) { c.Prefilled += done; c.Wasted += done })
+		return 0, errCancelled
+	}
+	e.cache.add(prompt)
+	e.count(func(c *Counts) { c.Prefilled += tokens - cached; c.Cached += cached })
+	return cached, nil
+}
+
+func (e *Engine) addBacklog(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.backlog += tokens
+}
+
+func (e *Engine) count(change func(*Counts)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(&e.counts)
+}
+
+// hold moves the flight's memory to a result that expires by itself.
+func (e *Engine) hold(key flightKey, tokens int) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	handle := key.id + "#" + strconv.FormatUint(key.attempt, 10)
+	f := e.flights[key]
+	r := &result{key: key, tokens: tokens, blocks: f.blocks}
+	f.blocks = 0
+	r.timer = time.AfterFunc(e.options.Hold, func() { e.expire(handle, r) })
+	e.held[handle] = r
+	return handle
+}
+
+func (e *Engine) expire(handle string, r *result) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held[handle] == r {
+		e.drop(handle)
+	}
+}
+
+// drop gives up a result. The caller holds mu.
+func (e *Engine) drop(handle string) {
+	r := e.held[handle]
+	r.timer.Stop()
+	delete(e.held, handle)
+	if !r.fetched {
+		e.counts.Wasted += r.tokens
+	}
+}
+
+// export sends the KV cache of a prefill over the engine's link. The result stays until it expires or is released, so
+// that another decode engine may fetch it again.
+func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
+	handle := r.URL.Query().Get("handle")
+	e.mu.Lock()
+	held, ok := e.held[handle]
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, errExpired.Error(), http.StatusGone)
+		return
+	}
+	e.link.Lock()
+	defer e.link.Unlock()
+	select {
+	case <-time.After(time.Duration(float64(held.tokens) / e.options.LinkRate * float64(time.Second))):
+	case <-r.Context().Done():
+		return
+	}
+	e.mu.Lock()
+	held.fetched = true
+	e.mu.Unlock()
+	httpx.OkJson(w, completer.Usage{PromptTokens: held.tokens})
+}
+
+// prefixes is a cache of prompt prefixes in pieces of some words, dropped oldest first.
+type prefixes struct {
+	limit int
+	turn  chan struct{}
+	known map[string]bool
+	order []string
+}
+
+// pieceTokens is the number of tokens in one cached piece.
+const pieceTokens = 64
+
+func newPrefixes(tokens int) *prefixes {
+	return &prefixes{limit: tokens / pieceTokens, turn: make(chan struct{}, 1), known: make(map[string]bool)}
+}
+
+// pieces returns the prefixes of prompt that end at whole pieces.
+func pieces(prompt string) []string {
+	words := strings.Fields(prompt)
+	var list []string
+	hash := ""
+	for i := pieceTokens; i <= len(words); i += pieceTokens {
+		hash = TextOf(hash + strings.Join(words[i-pieceTokens:i], " ")).Token(0)
+		list = append(list, hash+strconv.Itoa(i))
+	}
+	return list
+}
+
+func (p *prefixes) match(prompt string) int {
+	p.turn <- struct{}{}
+	defer func() { <-p.turn }()
+	n := 0
+	for _, piece := range pieces(prompt) {
+		if !p.known[piece] {
+			break
+		}
+		n += pieceTokens
+	}
+	return n
+}
+
+func (p *prefixes) add(prompt string) {
+	p.turn <- struct{}{}
+	defer func() { <-p.turn }()
+	for _, piece := range pieces(prompt) {
+		if !p.known[piece] {
+			p.known[piece] = true
+			p.order = append(p.order, piece)
+		}
+	}
+	for len(p.order) > p.limit {
+		delete(p.known, p.order[0])
+		p.order = p.order[1:]
+	}
+}
--- /dev/null
+++ b/lab/launcher/launcher.go
@@ -0,0 +1,348 @@
+// Package launcher starts a system and its stand-ins as processes on this machine, and ends them by their IDs.
+package launcher
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+)
+
+const (
+	// PeerKey is the key that launched hosts prove themselves by.
+	PeerKey = "lab-peer-key"
+	// OperatorKey is the key of a launched system's operators.
+	OperatorKey = "lab-operator-key"
+	// Token is the bearer token of a launched system's organisation.
+	Token = "lab-token"
+	// readyTimeout bounds the start of one process.
+	readyTimeout = 15 * time.Second
+	// pollPeriod is the time between two questions whether a process is ready.
+	pollPeriod = 20 * time.Millisecond
+)
+
+// Spec is the size and the settings of a system.
+type Spec struct {
+	// Bin is the folder of the two programs, Dir the folder for logs.
+	Bin string
+	Dir string
+	// Zones is the number of data centres that hosts are spread over.
+	Hosts    int
+	Zones    int
+	Prefill  int
+	Decode   int
+	Services int
+	// Args are further flags, by the kind of process: host, log, hosts, engine, prefill, decode, service.
+	Args map[string][]string
+}
+
+// Process is one process of a system. Operators is set for entry hosts only.
+type Process struct {
+	Name      string
+	Address   netip.AddrPort
+	Operators netip.AddrPort
+	Peers     netip.AddrPort
+	args      []string
+	bin       string
+	dir       string
+	cmd       *exec.Cmd
+	exited    chan struct{}
+}
+
+// System is a running system.
+type System struct {
+	spec      Spec
+	Log       *Process
+	HostList  *Process
+	Hosts     []*Process
+	Engines   []*Process
+	Services  []*Process
+	mu        sync.Mutex
+	processes []*Process
+}
+
+// Start starts the processes of a spec, the platform first. Rules must be published before hosts are ready.
+func Start(ctx context.Context, spec Spec) (*System, error) {
+	s := &System{spec: spec}
+	if err := os.MkdirAll(spec.Dir, 0o755); err != nil {
+		return nil, errorx.Decorate(err, "launcher: unable to make the folder for logs")
+	}
+	if err := s.start(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	var err error
+	if s.Log, err = s.stand(ctx, "log", "log", nil); err != nil {
+		return err
+	}
+	if s.HostList, err = s.stand(ctx, "hosts", "hosts", nil); err != nil {
+		return err
+	}
+	for i := range s.spec.Prefill {
+		if err := s.engine(ctx, fmt.Sprintf("prefill-%d", i), "prefill"); err != nil {
+			return err
+		}
+	}
+	for i := range s.spec.Decode {
+		if err := s.engine(ctx, fmt.Sprintf("decode-%d", i), "decode"); err != nil {
+			return err
+		}
+	}
+	for i := range s.spec.Services {
+		p, err := s.stand(ctx, fmt.Sprintf("desk-%d", i), "service", []string{"--pool", "desk", "--hosts", s.HostList.Address.String()})
+		if err != nil {
+			return err
+		}
+		s.Services = append(s.Services, p)
+	}
+	return s.startHosts(ctx)
+}
+
+func (s *System) engine(ctx context.Context, name, role string) error {
+	args := append([]string{"--role", role, "--pool", role, "--hosts", s.HostList.Address.String()}, s.spec.Args[role]...)
+	p, err := s.stand(ctx, name, "engine", args)
+	if err == nil {
+		s.Engines = append(s.Engines, p)
+	}
+	return err
+}
+
+// stand starts a stand-in on a free port.
+func (s *System) stand(ctx context.Context, name, kind string, args []string) (*Process, error) {
+	address, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	all := append([]string{"lab", kind, "--listen", address.String()}, args...)
+	if kind == "engine" || kind == "service" {
+		all = append(all, "--name", name)
+	}
+	p := &Process{
+		Name: name, Address: address, args: append(all, s.spec.Args[kind]...),
+		bin: filepath.Join(s.spec.Bin, "hornbeamctl"), dir: s.spec.Dir,
+	}
+	return p, s.run(ctx, p)
+}
+
+func (s *System) startHosts(ctx context.Context) error {
+	for i := range s.spec.Hosts {
+		if _, err := s.AddHost(ctx, fmt.Sprintf("host-%d", i), nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddHost starts one more entry host with further flags.
+func (s *System) AddHost(ctx context.Context, name string, args []string) (*Process, error) {
+	p := &Process{Name: name, bin: filepath.Join(s.spec.Bin, "hornbeamspan"), dir: s.spec.Dir}
+	for _, a := range []*netip.AddrPort{&p.Address, &p.Operators, &p.Peers} {
+		address, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		*a = address
+	}
+	p.args = []string{
+		"--name", name, "--zone", fmt.Sprintf("zone-%d", len(s.Hosts)%max(1, s.spec.Zones)),
+		"--callers", p.Address.String(), "--operators", p.Operators.String(), "--peers", p.Peers.String(),
+		"--log", s.Log.Address.String(), "--hosts", s.HostList.Address.String(),
+		"--peer-key", PeerKey, "--operator-key", OperatorKey,
+	}
+	if len(s.Hosts) > 0 {
+		p.args = append(p.args, "--seeds", s.Hosts[0].Peers.String())
+	}
+	p.args = append(append(p.args, s.spec.Args["host"]...), args...)
+	if err := s.run(ctx, p); err != nil {
+		return nil, err
+	}
+	s.Hosts = append(s.Hosts, p)
+	return p, nil
+}
+
+func (s *System) run(ctx context.Context, p *Process) error {
+	s.mu.Lock()
+	s.processes = append(s.processes, p)
+	s.mu.Unlock()
+	if err := p.launch(); err != nil {
+		return err
+	}
+	return p.awaitListening(ctx)
+}
+
+func freePort() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errorx.Decorate(err, "launcher: unable to find a free port")
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (p *Process) launch() error {
+	out, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errorx.Decorate(err, "launcher: unable to open the log of %s", p.Name)
+	}
+	defer out.Close()
+	p.cmd = exec.Command(p.bin, p.args...)
+	p.cmd.Stdout = out
+	p.cmd.Stderr = out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return errorx.Decorate(err, "launcher: unable to start %s", p.Name)
+	}
+	p.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait()
+		close(exited)
+	}(p.cmd, p.exited)
+	return nil
+}
+
+func (p *Process) awaitListening(ctx context.Context) error {
+	return Await(ctx, readyTimeout, func() bool {
+		conn, err := net.DialTimeout("tcp", p.Address.String(), time.Second)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+}
+
+// TimeoutError reports a condition that did not come true.
+type TimeoutError struct {
+	After time.Duration
+}
+
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("launcher: unable to see the condition within %s", e.After)
+}
+
+// Await waits until check returns true.
+func Await(ctx context.Context, limit time.Duration, check func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !check() {
+		select {
+		case <-ctx.Done():
+			return &TimeoutError{After: limit}
+		case <-time.After(pollPeriod):
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until every entry host is ready for callers, knows every other one and has the load of every engine.
+func (s *System) AwaitReady(ctx context.Context) error {
+	for _, h := range s.Hosts {
+		if err := Await(ctx, readyTimeout, func() bool { return h.isReady() && s.isKnown(ctx, h) }); err != nil {
+			return errorx.Decorate(err, "launcher: unable to get %s ready", h.Name)
+		}
+	}
+	return nil
+}
+
+// isKnown tells whether host h knows the rest of the system.
+func (s *System) isKnown(ctx context.Context, h *Process) bool {
+	status, err := h.Status(ctx)
+	if err != nil || len(status.Hosts) < len(s.Hosts) {
+		return false
+	}
+	engines, services := 0, 0
+	for _, e := range status.Endpoints {
+		if e.Slots > 0 {
+			engines++
+			continue
+		}
+		services++
+	}
+	return engines >= len(s.Engines) && services >= len(s.Services)
+}
+
+// Status asks an entry host for its status.
+func (p *Process) Status(ctx context.Context) (overseer.Status, error) {
+	var status overseer.Status
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/status", p.Operators), nil)
+	if err != nil {
+		return status, err
+	}
+	r.Header.Set("Authorization", "Bearer "+OperatorKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return status, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&status)
+	return status, err
+}
+
+func (p *Process) isReady() bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s/readyz", p.Operators))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Find returns the process of a name, nil if there is none.
+func (s *System) Find(name string) *Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.processes {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
+
+// PID returns the process's ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Exited is closed once the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Restart starts the process again after it has ended, with the same flags.
+func (p *Process) Restart(ctx context.Context) error {
+	<-p.exited
+	if err := p.launch(); err != nil {
+		return err
+	}
+	return p.awaitListening(ctx)
+}
+
+// Stop ends every process at once and waits for their ends.
+func (s *System) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.processes) - 1; i >= 0; i-- {
+		p := s.processes[i]
+		if p.cmd == nil || p.cmd.Process == nil {
+			continue
+		}
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
+}
--- /dev/null
+++ b/lab/loader/loader.go
@@ -0,0 +1,245 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/inferrer"
+	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+)
+
+const (
+	// longest is the longest time that a histogram can hold, in microseconds.
+	longest = int64(10 * time.Minute / time.Microsecond)
+	// digits is the precision of histograms.
+	digits = 3
+	// requestTimeout bounds one request.
+	requestTimeout = 60 * time.Second
+	// progressPeriod is the time between lines of progress.
+	progressPeriod = 2 * time.Second
+)
+
+// Targets are the latency targets that goodput counts by.
+type Targets struct {
+	Start  time.Duration
+	Finish time.Duration
+	Lookup time.Duration
+}
+
+// Count is what became of the requests of one class. Served ones met both targets; Late ones were whole but late.
+type Count struct {
+	Sent      int     `json:"sent"`
+	Served    int     `json:"served"`
+	Late      int     `json:"late"`
+	Refused   int     `json:"refused"`
+	Failed    int     `json:"failed"`
+	Wrong     int     `json:"wrong"`
+	Left      int     `json:"left"`
+	Goodput   float64 `json:"goodput"`
+	StartP50  float64 `json:"start_p50_ms"`
+	StartP95  float64 `json:"start_p95_ms"`
+	StartP99  float64 `json:"start_p99_ms"`
+	FinishP50 float64 `json:"finish_p50_ms"`
+	FinishP95 float64 `json:"finish_p95_ms"`
+	FinishP99 float64 `json:"finish_p99_ms"`
+	start     *hdrhistogram.Histogram
+	finish    *hdrhistogram.Histogram
+}
+
+// Result is what became of a load. WastedShare is the part of the computed prompt tokens that no decode used.
+type Result struct {
+	Classes     map[Class]*Count `json:"classes"`
+	Prefilled   int              `json:"prefilled"`
+	Cached      int              `json:"cached"`
+	Wasted      int              `json:"wasted"`
+	WastedShare float64          `json:"wasted_share"`
+}
+
+// Run sends the trace of a shape, writes progress to w and returns the counts once every request has ended.
+func Run(ctx context.Context, c *Caller, s Shape, t Targets, hosts *finder.Client, w io.Writer) Result {
+	result := Result{Classes: make(map[Class]*Count)}
+	for _, class := range Classes {
+		result.Classes[class] = &Count{start: hdrhistogram.New(1, longest, digits), finish: hdrhistogram.New(1, longest, digits)}
+	}
+	before := engineCounts(ctx, hosts)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	stop := progress(w, &mu, result)
+	begin := time.Now()
+	for _, a := range Trace(s) {
+		select {
+		case <-time.After(time.Until(begin.Add(a.At))):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		wait.Go(func() {
+			reply := send(ctx, c, s, a)
+			mu.Lock()
+			defer mu.Unlock()
+			result.Classes[a.Class].add(a, reply, t)
+		})
+	}
+	wait.Wait()
+	stop()
+	for _, count := range result.Classes {
+		count.close()
+	}
+	result.addEngines(before, engineCounts(ctx, hosts))
+	return result
+}
+
+func send(ctx context.Context, c *Caller, s Shape, a Arrival) Reply {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	switch a.Class {
+	case Summary:
+		return c.Complete(ctx, netip.AddrPort{}, "", a.Prompt, a.Output, a.Cancel)
+	case Lookup:
+		return c.Call(ctx, netip.AddrPort{}, http.MethodGet, fmt.Sprintf("%s/%d", c.LookupPath, a.Number), "", nil)
+	}
+	key := fmt.Sprintf("load-%d-%d", s.Seed, a.Number)
+	return c.Call(ctx, netip.AddrPort{}, http.MethodPost, c.Path, key, []byte(key))
+}
+
+func (n *Count) add(a Arrival, r Reply, t Targets) {
+	if a.IsCrash {
+		return
+	}
+	n.Sent++
+	if a.Cancel {
+		n.Left++
+		return
+	}
+	switch {
+	case r.Err != nil || r.Code == "stream_failed":
+		n.Failed++
+	case r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests:
+		n.Refused++
+	case r.Status != http.StatusOK || !r.Whole:
+		n.Failed++
+	case a.Class == Summary && r.Text != inferrer.Answer(a.Prompt+"\n", a.Output):
+		n.Wrong++
+	default:
+		n.whole(a, r, t)
+	}
+}
+
+func (n *Count) whole(a Arrival, r Reply, t Targets) {
+	_ = n.start.RecordValue(max(1, r.Start.Microseconds()))
+	_ = n.finish.RecordValue(max(1, r.Finish.Microseconds()))
+	inTime := r.Finish <= t.Lookup
+	if a.Class == Summary {
+		inTime = r.Start <= t.Start && r.Finish <= t.Finish
+	}
+	if inTime {
+		n.Served++
+		return
+	}
+	n.Late++
+}
+
+func (n *Count) close() {
+	quantile := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	n.StartP50, n.StartP95, n.StartP99 = quantile(n.start, 50), quantile(n.start, 95), quantile(n.start, 99)
+	n.FinishP50, n.FinishP95, n.FinishP99 = quantile(n.finish, 50), quantile(n.finish, 95), quantile(n.finish, 99)
+	if stayed := n.Sent - n.Left; stayed > 0 {
+		n.Goodput = float64(n.Served) / float64(stayed)
+	}
+}
+
+func progress(w io.Writer, mu *sync.Mutex, r Result) (stop func()) {
+	done := make(chan struct{})
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		ticker := time.NewTicker(progressPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				mu.Lock()
+				for _, class := range Classes {
+					n := r.Classes[class]
+					fmt.Fprintf(w, "%s %d/%d  ", class, n.Served, n.Sent)
+				}
+				mu.Unlock()
+				fmt.Fprintln(w)
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-finished
+	}
+}
+
+// engineCounts returns the counts of every engine that answers, by its incarnation.
+func engineCounts(ctx context.Context, hosts *finder.Client) map[string]inferrer.Counts {
+	counts := make(map[string]inferrer.Counts)
+	listing, err := hosts.Get(ctx)
+	if err != nil {
+		return counts
+	}
+	for _, e := range listing.Endpoints {
+		if s, err := EngineState(ctx, e.Address); err == nil && s.Load.Incarnation != "" {
+			counts[s.Load.Incarnation] = s.Counts
+		}
+	}
+	return counts
+}
+
+// EngineState asks an engine what it holds.
+func EngineState(ctx context.Context, a netip.AddrPort) (inferrer.State, error) {
+	var s inferrer.State
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/state", a), nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&s)
+	return s, err
+}
+
+func (r *Result) addEngines(before, after map[string]inferrer.Counts) {
+	for incarnation, c := range after {
+		old := before[incarnation]
+		r.Prefilled += c.Prefilled - old.Prefilled
+		r.Cached += c.Cached - old.Cached
+		r.Wasted += c.Wasted - old.Wasted
+	}
+	if r.Prefilled > 0 {
+		r.WastedShare = float64(r.Wasted) / float64(r.Prefilled)
+	}
+}
+
+// Write prints a table of r.
+func (r Result) Write(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\tsent\tserved\tlate\trefused\tfailed\twrong\tleft\tgoodput\tstart p50\tp95\tp99\tfinish p50\tp95\tp99 ms\t")
+	for _, class := range Classes {
+		n := r.Classes[class]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n", class, n.Sent, n.Served, n.Late, n.Refused,
+			n.Failed, n.Wrong, n.Left, n.Goodput, n.StartP50, n.StartP95, n.StartP99, n.FinishP50, n.FinishP95, n.FinishP99)
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "prompt tokens computed %d, cached %d, wasted %d (%.2f%%)\n", r.Prefilled, r.Cached, r.Wasted, 100*r.WastedShare)
+}
--- /dev/null
+++ b/lab/logkeeper/logkeeper.go
@@ -0,0 +1,237 @@
+// Package logkeeper is a small stand-in for the platform's log service, with switches for its faults.
+package logkeeper
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
+	"github.com/hornbeamspan/hornbeamspan/transport/logger"
+)
+
+const (
+	// maxRecord bounds the bytes of one record.
+	maxRecord = 4 << 20
+	// maxPage bounds the records of one answer.
+	maxPage = 1000
+)
+
+// Faults are the log's switches. LoseAnswers counts down by one for each append that takes effect without an answer.
+type Faults struct {
+	Outage      bool   `json:"outage"`
+	LoseAnswers int    `json:"lose"`
+	Delay       string `json:"delay"`
+}
+
+// Options are the settings of the stand-in. Retention 0 keeps records for good.
+type Options struct {
+	Retention time.Duration
+	Rate      limiter.Rate
+}
+
+type stream struct {
+	records []logger.Record
+	oldest  uint64
+	changed chan struct{}
+}
+
+// Log keeps streams in memory.
+type Log struct {
+	options Options
+	mu      sync.Mutex
+	streams map[string]*stream
+	bucket  limiter.Bucket
+	faults  Faults
+	delay   time.Duration
+	appends int
+}
+
+// New returns an empty log.
+func New(o Options) *Log {
+	return &Log{options: o, streams: make(map[string]*stream)}
+}
+
+// Routes returns the log's HTTP interface.
+func (l *Log) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/streams/:stream/records", Handler: l.append},
+		{Method: http.MethodGet, Path: "/v1/streams/:stream/records", Handler: l.read},
+		{Method: http.MethodPut, Path: "/v1/faults", Handler: l.setFaults},
+		{Method: http.MethodGet, Path: "/v1/appends", Handler: l.count},
+	}
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// expire drops records older than the retention.
+func (l *Log) expire(s *stream, now time.Time) {
+	if l.options.Retention == 0 {
+		return
+	}
+	n := 0
+	for n < len(s.records) && now.Sub(s.records[n].Time) > l.options.Retention {
+		n++
+	}
+	s.records = s.records[n:]
+	s.oldest += uint64(n)
+}
+
+func (l *Log) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecord))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !l.pass(w, r) {
+		return
+	}
+	offset, lost, ok := l.add(pathvar.Vars(r)["stream"], data)
+	if !ok {
+		http.Error(w, "rate limit", http.StatusTooManyRequests)
+		return
+	}
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	httpx.OkJson(w, logger.Appended{Offset: offset})
+}
+
+func (l *Log) add(name string, data []byte) (offset uint64, lost, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.options.Rate.PerSecond > 0 {
+		if _, ok := l.bucket.Take(now, l.options.Rate); !ok {
+			return 0, false, false
+		}
+	}
+	s := l.stream(name)
+	l.expire(s, now)
+	offset = s.oldest + uint64(len(s.records))
+	s.records = append(s.records, logger.Record{Offset: offset, Time: now, Data: data})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	l.appends++
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return offset, true, true
+	}
+	return offset, false, true
+}
+
+// pass applies the delay and the outage. During an outage connections are dropped without an answer.
+func (l *Log) pass(_ http.ResponseWriter, r *http.Request) bool {
+	l.mu.Lock()
+	delay, outage := l.delay, l.faults.Outage
+	l.mu.Unlock()
+	if outage {
+		panic(http.ErrAbortHandler)
+	}
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (l *Log) read(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		if !l.pass(w, r) {
+			return
+		}
+		page, changed, status := l.page(pathvar.Vars(r)["stream"], from)
+		if status != http.StatusOK || len(page.Records) > 0 {
+			httpx.WriteJson(w, status, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-end:
+			httpx.OkJson(w, page)
+			return
+		}
+	}
+}
+
+func (l *Log) page(name string, from uint64) (logger.Page, <-chan struct{}, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	l.expire(s, time.Now())
+	if from < s.oldest {
+		return logger.Page{Oldest: s.oldest}, nil, http.StatusGone
+	}
+	records := s.records[min(from-s.oldest, uint64(len(s.records))):]
+	records = records[:min(len(records), maxPage)]
+	return logger.Page{Records: append([]logger.Record{}, records...), Oldest: s.oldest}, s.changed, http.StatusOK
+}
+
+func (l *Log) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var delay time.Duration
+	if f.Delay != "" {
+		d, err := time.ParseDuration(f.Delay)
+		if err != nil {
+			http.Error(w, "delay: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		delay = d
+	}
+	l.mu.Lock()
+	l.faults = f
+	l.delay = delay
+	l.wake()
+	l.mu.Unlock()
+	httpx.OkJson(w, f)
+}
+
+// wake ends waiting reads, so that an outage reaches them too.
+func (l *Log) wake() {
+	for _, s := range l.streams {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// Count is the answer to a question for the number of appends.
+type Count struct {
+	Appends int `json:"appends"`
+}
+
+func (l *Log) count(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	httpx.OkJson(w, Count{Appends: l.appends})
+}
--- /dev/null
+++ b/lab/servicer/servicer.go
@@ -0,0 +1,161 @@
+// Package servicer is a small stand-in for a plain service that records each run by its idempotency key.
+package servicer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+)
+
+// maxBody bounds the body of one call.
+const maxBody = 1 << 20
+
+// Faults are the service's switches. LoseAnswers and Refuse count down by one for each call.
+type Faults struct {
+	LoseAnswers int    `json:"lose"`
+	Refuse      int    `json:"refuse"`
+	Delay       string `json:"delay"`
+}
+
+// Run is one run of a call.
+type Run struct {
+	Key    string `json:"key"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Number int    `json:"number"`
+}
+
+// Runs lists runs by key.
+type Runs struct {
+	Total int            `json:"total"`
+	ByKey map[string]int `json:"keys"`
+}
+
+// Service answers any call with a Run.
+type Service struct {
+	mu      sync.Mutex
+	delay   time.Duration
+	faults  Faults
+	total   int
+	byKey   map[string]int
+	active  int
+	leaving bool
+}
+
+// New returns a service whose calls take delay.
+func New(delay time.Duration) *Service {
+	return &Service{delay: delay, byKey: make(map[string]int)}
+}
+
+// Routes returns the service's control interface.
+func (s *Service) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/lab/runs", Handler: s.getRuns},
+		{Method: http.MethodPut, Path: "/lab/faults", Handler: s.setFaults},
+	}
+}
+
+// Leave makes the service refuse new calls.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Idle tells whether no call runs.
+func (s *Service) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active == 0
+}
+
+// Call serves every other path. A path that ends in /status/KEY tells whether KEY ran.
+func (s *Service) Call(w http.ResponseWriter, r *http.Request) {
+	if _, key, ok := strings.Cut(r.URL.Path, "/status/"); ok && r.Method == http.MethodGet {
+		s.status(w, key)
+		return
+	}
+	if _, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	run, delay, refuse, lose := s.begin(r)
+	if refuse {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(delay)
+	s.end()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Run", run.Key)
+	httpx.OkJson(w, run)
+}
+
+func (s *Service) begin(r *http.Request) (run Run, delay time.Duration, refuse, lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return run, 0, true, false
+	}
+	if s.faults.Refuse > 0 {
+		s.faults.Refuse--
+		return run, 0, true, false
+	}
+	s.total++
+	s.active++
+	key := r.Header.Get("Idempotency-Key")
+	if key != "" {
+		s.byKey[key]++
+	}
+	if s.faults.LoseAnswers > 0 && r.Method != http.MethodGet {
+		s.faults.LoseAnswers--
+		lose = true
+	}
+	return Run{Key: key, Method: r.Method, Path: r.URL.Path, Number: s.byKey[key]}, s.delay, false, lose
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+}
+
+func (s *Service) status(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	n := s.byKey[key]
+	s.mu.Unlock()
+	if n == 0 {
+		http.Error(w, "no run of that key", http.StatusNotFound)
+		return
+	}
+	httpx.OkJson(w, Run{Key: key, Number: n})
+}
+
+func (s *Service) getRuns(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	httpx.OkJson(w, Runs{Total: s.total, ByKey: s.byKey})
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if d, err := time.ParseDuration(f.Delay); err == nil {
+		s.delay = d
+	}
+	httpx.OkJson(w, f)
+}
--- /dev/null
+++ b/parts/coordination/admitter/admitter.go
@@ -0,0 +1,55 @@
+// Package admitter predicts whether a request can meet its latency targets and refuses at once those that cannot.
+package admitter
+
+import "time"
+
+// Targets are the time to the first token and the time to the last.
+type Targets struct {
+	Start  time.Duration
+	Finish time.Duration
+}
+
+// Estimate is what is known of the way of a request. Token counts are of the prompt, Rate is in tokens per second.
+type Estimate struct {
+	// Backlog is the number of tokens that the prefill engine has still to read before this prompt.
+	Backlog int
+	// Tokens is the length of the prompt, Cached the part of it that the engine need not read.
+	Tokens int
+	Cached int
+	Rate   float64
+	// Transfer is the time to move the KV cache.
+	Transfer time.Duration
+	// Slot is the time until a decode slot is free.
+	Slot time.Duration
+	// Output is the number of tokens to be made, Step the time for each.
+	Output int
+	Step   time.Duration
+}
+
+// Prefill returns the time until the prompt is read.
+func (e Estimate) Prefill() time.Duration {
+	if e.Rate <= 0 {
+		return 0
+	}
+	tokens := e.Backlog + max(0, e.Tokens-e.Cached)
+	return time.Duration(float64(tokens) / e.Rate * float64(time.Second))
+}
+
+// Start returns the predicted time to the first token.
+func (e Estimate) Start() time.Duration {
+	return max(e.Prefill()+e.Transfer, e.Slot) + e.Step
+}
+
+// Finish returns the predicted time to the last token.
+func (e Estimate) Finish() time.Duration {
+	return e.Start() + time.Duration(max(0, e.Output-1))*e.Step
+}
+
+// Decide tells whether both targets can be met, and otherwise how long the backlog needs to shrink enough.
+func Decide(e Estimate, t Targets) (retryAfter time.Duration, ok bool) {
+	late := max(e.Start()-t.Start, e.Finish()-t.Finish)
+	if late <= 0 {
+		return 0, true
+	}
+	return late, false
+}
--- /dev/null
+++ b/parts/coordination/claimer/checkpoint.go
@@ -0,0 +1,111 @@
+package claimer
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/replayer"
+)
+
+// PartEntries is the number of holdings and releases in one part of a checkpoint.
+const PartEntries = 500
+
+// Checkpoint is one part of the state before the record at offset Upto. Parts are numbered from 0.
+// Now is the ledger's time there.
+type Checkpoint struct {
+	Upto     uint64
+	Now      time.Time
+	Part     int
+	Parts    int
+	Holdings []Holding
+	Released []Released
+}
+
+// partial collects the parts of one checkpoint.
+type partial struct {
+	upto  uint64
+	parts map[int]*Checkpoint
+}
+
+// Checkpoint returns the state before the record at offset upto, in parts that each fit a log record.
+func (l *Ledger) Checkpoint(upto uint64) []Checkpoint {
+	holdings := make([]Holding, 0, len(l.keys))
+	for _, h := range l.keys {
+		holdings = append(holdings, h)
+	}
+	released := make([]Released, 0, len(l.released))
+	for id, at := range l.released {
+		released = append(released, Released{ID: id, At: at})
+	}
+	slices.SortFunc(holdings, compareHoldings)
+	slices.SortFunc(released, compareReleased)
+	parts := split(upto, holdings, released)
+	for i := range parts {
+		parts[i].Part = i
+		parts[i].Parts = len(parts)
+		parts[i].Now = l.now
+	}
+	return parts
+}
+
+// compareHoldings makes equal states give equal parts, whoever writes them.
+func compareHoldings(a, b Holding) int {
+	return cmp.Or(a.At.Compare(b.At), bytes.Compare(a.Key[:], b.Key[:]))
+}
+
+func compareReleased(a, b Released) int {
+	return cmp.Or(
+		a.At.Compare(b.At),
+		cmp.Compare(a.ID.Node, b.ID.Node),
+		cmp.Compare(a.ID.Incarnation, b.ID.Incarnation),
+		cmp.Compare(a.ID.Sequence, b.ID.Sequence),
+	)
+}
+
+func split(upto uint64, holdings []Holding, released []Released) []Checkpoint {
+	var parts []Checkpoint
+	for chunk := range slices.Chunk(holdings, PartEntries) {
+		parts = append(parts, Checkpoint{Upto: upto, Holdings: chunk})
+	}
+	for chunk := range slices.Chunk(released, PartEntries) {
+		parts = append(parts, Checkpoint{Upto: upto, Released: chunk})
+	}
+	if len(parts) == 0 {
+		parts = append(parts, Checkpoint{Upto: upto})
+	}
+	return parts
+}
+
+// Restore takes r if it is part of a checkpoint.
+func (l *Ledger) Restore(r replayer.Record[Payload]) (uint64, bool) {
+	c := r.Payload.Checkpoint
+	if c == nil {
+		return 0, false
+	}
+	if l.partial.parts == nil || l.partial.upto != c.Upto {
+		l.partial = partial{upto: c.Upto, parts: make(map[int]*Checkpoint)}
+	}
+	l.partial.parts[c.Part] = c
+	if len(l.partial.parts) < c.Parts {
+		return 0, false
+	}
+	l.load(c.Parts)
+	return c.Upto, true
+}
+
+func (l *Ledger) load(n int) {
+	parts := l.partial.parts
+	l.Reset()
+	l.now = parts[0].Now
+	for i := range n {
+		for _, h := range parts[i].Holdings {
+			l.hold(h)
+		}
+		for _, r := range parts[i].Released {
+			l.releaseAt(r)
+		}
+	}
+	slices.SortStableFunc(l.expiry, func(a, b expiry) int { return a.at.Compare(b.at) })
+}
--- /dev/null
+++ b/parts/coordination/claimer/ledger.go
@@ -0,0 +1,246 @@
+// Package claimer decides which claim of an idempotency key may run its call.
+//
+// Every verdict is a function of the stream's prefix and is fixed at the offset of the claim, so all readers agree
+// whatever their clocks, leases or membership. A node runs a call only after it has read its own claim and found it won.
+package claimer
+
+import (
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/replayer"
+)
+
+// Digest is the first 16 bytes of a SHA-256.
+type Digest [16]byte
+
+// ID names one claim. Incarnation differs for every start of a node.
+type ID struct {
+	Node        string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// Kind is what an Entry does.
+type Kind uint8
+
+// The kinds of entries.
+const (
+	// Claim asks for the key.
+	Claim Kind = iota + 1
+	// Release says that the node of the claim has not run it and never will.
+	Release
+	// Done says that the call of the claim has ended with Status.
+	Done
+)
+
+// Entry is one step in the life of a claim. Fingerprint covers the body of the call; Status is an HTTP status.
+type Entry struct {
+	Kind        Kind
+	ID          ID
+	Key         Digest
+	Fingerprint Digest
+	Status      int
+}
+
+// Holding is the state of a claimed key. At is the log's time of the claim.
+type Holding struct {
+	Key         Digest
+	ID          ID
+	Fingerprint Digest
+	At          time.Time
+	Done        bool
+	Status      int
+}
+
+// Released is a release whose claim may still arrive. At is the log's time of the release.
+type Released struct {
+	ID ID
+	At time.Time
+}
+
+// Verdict is what became of a claim.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Won allows the node of the claim to run its call.
+	Won Verdict = iota + 1
+	// Lost forbids it: another claim holds the key, or the claim was released before it arrived.
+	Lost
+	// Mismatch forbids it: the key is held for a call with another body.
+	Mismatch
+)
+
+// Outcome is a verdict with the claim that holds the key. Holder is zero if the claim lost to its own release.
+type Outcome struct {
+	Verdict Verdict
+	Holder  Holding
+}
+
+// Payload is the content of one log record: entries in order, or a part of a checkpoint.
+type Payload struct {
+	Entries    []Entry
+	Checkpoint *Checkpoint
+}
+
+// Ledger is the state of one stream of claims. It is not safe for concurrent use.
+type Ledger struct {
+	horizon  time.Duration
+	now      time.Time
+	keys     map[Digest]Holding
+	released map[ID]time.Time
+	expiry   []expiry
+	watched  map[ID]*Outcome
+	partial  partial
+	covered  uint64
+}
+
+type expiry struct {
+	at  time.Time
+	key Digest
+	id  ID
+}
+
+var _ replayer.State[Payload] = (*Ledger)(nil)
+
+// NewLedger returns an empty Ledger that forgets a key once horizon has passed since its claim, by the log's time.
+func NewLedger(horizon time.Duration) *Ledger {
+	l := &Ledger{horizon: horizon, watched: make(map[ID]*Outcome)}
+	l.Reset()
+	return l
+}
+
+// Reset empties the ledger. Claims being watched stay watched.
+func (l *Ledger) Reset() {
+	l.now = time.Time{}
+	l.keys = make(map[Digest]Holding)
+	l.released = make(map[ID]time.Time)
+	l.expiry = nil
+	l.partial = partial{}
+	l.covered = 0
+}
+
+// Watch keeps the verdict of claim id when it arrives.
+func (l *Ledger) Watch(id ID) { l.watched[id] = nil }
+
+// Outcome returns the verdict of a watched claim once its entry has been applied.
+func (l *Ledger) Outcome(id ID) (Outcome, bool) {
+	o := l.watched[id]
+	if o == nil {
+		return Outcome{}, false
+	}
+	return *o, true
+}
+
+// Forget stops watching claim id.
+func (l *Ledger) Forget(id ID) { delete(l.watched, id) }
+
+// Holder returns the holding of key.
+func (l *Ledger) Holder(key Digest) (Holding, bool) {
+	h, ok := l.keys[key]
+	return h, ok
+}
+
+// Len returns the number of keys held.
+func (l *Ledger) Len() int { return len(l.keys) }
+
+// Covered returns the offset up to which the newest complete checkpoint in the stream covers it.
+func (l *Ledger) Covered() uint64 { return l.covered }
+
+// Apply changes the ledger by one record.
+func (l *Ledger) Apply(r replayer.Record[Payload]) {
+	if r.At.After(l.now) {
+		l.now = r.At
+	}
+	l.expire()
+	if c := r.Payload.Checkpoint; c != nil && c.Part == c.Parts-1 && c.Upto > l.covered {
+		l.covered = c.Upto
+	}
+	for _, e := range r.Payload.Entries {
+		l.apply(e)
+	}
+}
+
+func (l *Ledger) apply(e Entry) {
+	switch e.Kind {
+	case Claim:
+		l.claim(e)
+	case Release:
+		l.release(e)
+	case Done:
+		l.done(e)
+	}
+}
+
+func (l *Ledger) claim(e Entry) {
+	o := l.judge(e)
+	if _, ok := l.watched[e.ID]; ok && l.watched[e.ID] == nil {
+		l.watched[e.ID] = &o
+	}
+}
+
+func (l *Ledger) judge(e Entry) Outcome {
+	if _, ok := l.released[e.ID]; ok {
+		return Outcome{Verdict: Lost}
+	}
+	h, held := l.keys[e.Key]
+	switch {
+	case held && h.ID == e.ID:
+		return Outcome{Verdict: Won, Holder: h}
+	case held && h.Fingerprint != e.Fingerprint:
+		return Outcome{Verdict: Mismatch, Holder: h}
+	case held:
+		return Outcome{Verdict: Lost, Holder: h}
+	}
+	h = Holding{Key: e.Key, ID: e.ID, Fingerprint: e.Fingerprint, At: l.now}
+	l.hold(h)
+	return Outcome{Verdict: Won, Holder: h}
+}
+
+func (l *Ledger) hold(h Holding) {
+	l.keys[h.Key] = h
+	l.expiry = append(l.expiry, expiry{at: h.At, key: h.Key, id: h.ID})
+}
+
+func (l *Ledger) release(e Entry) {
+	l.releaseAt(Released{ID: e.ID, At: l.now})
+	if h, ok := l.keys[e.Key]; ok && h.ID == e.ID && !h.Done {
+		delete(l.keys, e.Key)
+	}
+}
+
+func (l *Ledger) releaseAt(r Released) {
+	l.released[r.ID] = r.At
+	l.expiry = append(l.expiry, expiry{at: r.At, id: r.ID})
+}
+
+func (l *Ledger) done(e Entry) {
+	h, ok := l.keys[e.Key]
+	if !ok || h.ID != e.ID {
+		return
+	}
+	h.Done = true
+	h.Status = e.Status
+	l.keys[e.Key] = h
+}
+
+func (l *Ledger) expire() {
+	cut := l.now.Add(-l.horizon)
+	n := 0
+	for n < len(l.expiry) && l.expiry[n].at.Before(cut) {
+		l.drop(l.expiry[n])
+		n++
+	}
+	if n > 0 {
+		l.expiry = append([]expiry(nil), l.expiry[n:]...)
+	}
+}
+
+func (l *Ledger) drop(x expiry) {
+	if at, ok := l.released[x.id]; ok && !at.After(x.at) {
+		delete(l.released, x.id)
+	}
+	if h, ok := l.keys[x.key]; ok && h.ID == x.id {
+		delete(l.keys, x.key)
+	}
+}
--- /dev/null
+++ b/parts/coordination/parser/parser.go
@@ -0,0 +1,360 @@
+package parser
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Version is the version of the validator that Check implements. A change of any verdict needs a new version.
+const Version = 1
+
+// SyntaxError is a fault in the rule file. Line and Column count from 1; Field is the key or word at fault.
+type SyntaxError struct {
+	Line   int
+	Column int
+	Field  string
+	Reason string
+}
+
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("line %d, column %d: %s: %s", e.Line, e.Column, e.Field, e.Reason)
+}
+
+var (
+	nameForm    = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+	commentForm = regexp.MustCompile(`^\s*\S[^:]*:\s*\S`)
+)
+
+// Check is the validator of version Version.
+func Check(text string) error {
+	_, err := Parse(text)
+	return err
+}
+
+// Parse reads a rule file and reports every fault in it, joined; each is a *SyntaxError.
+func Parse(text string) (*Rules, error) {
+	p := &parse{rules: &Rules{
+		Pools:         make(map[string]Pool),
+		Models:        make(map[string]Model),
+		Onces:         make(map[string]Once),
+		Lookups:       make(map[string]Lookup),
+		Organisations: make(map[string]Organisation),
+		ByToken:       make(map[string]string),
+	}}
+	for i, l := range strings.Split(text, "\n") {
+		p.line = i + 1
+		p.parseLine(l)
+	}
+	for _, check := range p.references {
+		check()
+	}
+	if len(p.faults) > 0 {
+		return nil, errors.Join(p.faults...)
+	}
+	return p.rules, nil
+}
+
+// parse is the state of one reading of a file. References are checked once every line is known.
+type parse struct {
+	rules      *Rules
+	line       int
+	faults     []error
+	references []func()
+}
+
+// word is a part of a line and the column of its first byte.
+type word struct {
+	text   string
+	column int
+}
+
+func (p *parse) fault(column int, field, reason string) {
+	p.faults = append(p.faults, &SyntaxError{Line: p.line, Column: column, Field: field, Reason: reason})
+}
+
+func (p *parse) parseLine(l string) {
+	l = strings.TrimRight(l, "\r")
+	rule, comment, found := strings.Cut(l, "#")
+	words := splitWords(rule)
+	if len(words) == 0 {
+		return
+	}
+	if !found || !commentForm.MatchString(comment) {
+		p.fault(len(l)+1, "comment", "a rule ends with a comment: # who: why")
+	}
+	if len(words) < 2 {
+		p.fault(len(rule)+1, words[0].text, "a rule needs a name after its verb")
+		return
+	}
+	if !nameForm.MatchString(words[1].text) {
+		p.fault(words[1].column, words[1].text, "a name has lower-case letters, digits, dots, dashes and underscores")
+	}
+	p.parseRule(words[0], words[1], p.parseFields(words[2:]))
+}
+
+func splitWords(s string) []word {
+	var words []word
+	start := -1
+	for i, r := range s + " " {
+		blank := r == ' ' || r == '\t'
+		if !blank && start < 0 {
+			start = i
+		}
+		if blank && start >= 0 {
+			words = append(words, word{text: s[start:i], column: start + 1})
+			start = -1
+		}
+	}
+	return words
+}
+
+func (p *parse) parseFields(words []word) *fields {
+	f := &fields{parse: p, values: make(map[string]word), line: p.line}
+	for _, w := range words {
+		key, value, ok := strings.Cut(w.text, "=")
+		if !ok || value == "" {
+			p.fault(w.column, w.text, "expected key=value")
+			continue
+		}
+		if _, twice := f.values[key]; twice {
+			p.fault(w.column, key, "given twice")
+			continue
+		}
+		f.values[key] = word{text: value, column: w.column}
+	}
+	return f
+}
+
+func (p *parse) parseRule(verb, name word, f *fields) {
+	f.name = name
+	switch verb.text {
+	case "pool":
+		p.pool(f)
+	case "model":
+		p.model(f)
+	case "once":
+		p.once(f)
+	case "lookup":
+		p.lookup(f)
+	case "organisation":
+		p.organisation(f)
+	default:
+		p.fault(verb.column, verb.text, "unknown verb; known are pool, model, once, lookup, organisation")
+		return
+	}
+	f.rejectRest()
+}
+
+func add[T any](p *parse, rules map[string]T, f *fields, rule T) {
+	if _, ok := rules[f.name.text]; ok {
+		p.fault(f.name.column, f.name.text, "named twice")
+		return
+	}
+	rules[f.name.text] = rule
+}
+
+func (p *parse) pool(f *fields) {
+	kind := PoolKind(f.oneOf("kind", string(Prefill), string(Decode), string(Service)))
+	fence := f.optional("fence", "no")
+	if fence != "yes" && fence != "no" {
+		f.reject("fence", "must be yes or no")
+	}
+	add(p, p.rules.Pools, f, Pool{Name: f.name.text, Kind: kind, Fence: fence == "yes"})
+}
+
+func (p *parse) model(f *fields) {
+	m := Model{
+		Name:     f.name.text,
+		Prefill:  f.pool("prefill", Prefill),
+		Decode:   f.pool("decode", Decode),
+		Start:    f.duration("start", 0),
+		Finish:   f.duration("finish", 0),
+		Priority: f.integer("priority", 0),
+	}
+	if m.Start > m.Finish {
+		f.reject("start", "must not be more than finish")
+	}
+	add(p, p.rules.Models, f, m)
+}
+
+func (p *parse) once(f *fields) {
+	o := Once{
+		Name:    f.name.text,
+		Service: f.pool("service", Service),
+		Method:  f.oneOf("method", http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete),
+		Path:    f.path("path", ""),
+		Status:  f.path("status", "-"),
+	}
+	if o.Status == "-" {
+		o.Status = ""
+	}
+	add(p, p.rules.Onces, f, o)
+}
+
+func (p *parse) lookup(f *fields) {
+	l := Lookup{
+		Service: f.name.text,
+		Finish:  f.duration("finish", 0),
+		Hedge:   f.duration("hedge", -1),
+	}
+	l.Hedge = max(l.Hedge, 0)
+	f.refer(f.name, Service)
+	add(p, p.rules.Lookups, f, l)
+}
+
+func (p *parse) organisation(f *fields) {
+	o := Organisation{
+		Name:  f.name.text,
+		Token: f.required("token"),
+		Rate:  f.number("rate", 0),
+		Burst: f.integer("burst", 1),
+	}
+	if raw, err := hex.DecodeString(o.Token); o.Token != "" && (err != nil || len(raw) != 32) {
+		f.reject("token", "must be a SHA-256 in hex, 64 digits")
+	}
+	o.Token = strings.ToLower(o.Token)
+	if other, ok := p.rules.ByToken[o.Token]; ok && o.Token != "" {
+		f.reject("token", "is the token of "+other)
+	}
+	p.rules.ByToken[o.Token] = o.Name
+	add(p, p.rules.Organisations, f, o)
+}
+
+// fields are the key=value words of one line. Keys that a rule has read are removed from values.
+type fields struct {
+	parse  *parse
+	name   word
+	line   int
+	values map[string]word
+	read   map[string]word
+}
+
+func (f *fields) take(key string) (word, bool) {
+	w, ok := f.values[key]
+	if ok {
+		if f.read == nil {
+			f.read = make(map[string]word)
+		}
+		f.read[key] = w
+		delete(f.values, key)
+	}
+	return w, ok
+}
+
+func (f *fields) reject(key, reason string) {
+	w, ok := f.read[key]
+	if !ok {
+		w = f.name
+	}
+	f.parse.fault(w.column, key, reason)
+}
+
+func (f *fields) rejectRest() {
+	for _, key := range slices.Sorted(maps.Keys(f.values)) {
+		f.parse.fault(f.values[key].column, key, "unknown key for this verb")
+	}
+}
+
+func (f *fields) required(key string) string {
+	w, ok := f.take(key)
+	if !ok {
+		f.reject(key, "is missing")
+	}
+	return w.text
+}
+
+func (f *fields) optional(key, value string) string {
+	if w, ok := f.take(key); ok {
+		return w.text
+	}
+	return value
+}
+
+func (f *fields) oneOf(key string, allowed ...string) string {
+	v := f.required(key)
+	if v != "" && !slices.Contains(allowed, v) {
+		f.reject(key, "must be one of "+strings.Join(allowed, ", "))
+	}
+	return v
+}
+
+// pool reads the name of a pool, which must stand in the file with that kind.
+func (f *fields) pool(key string, kind PoolKind) string {
+	v := f.required(key)
+	if v != "" {
+		f.refer(f.read[key], kind)
+	}
+	return v
+}
+
+func (f *fields) refer(name word, kind PoolKind) {
+	p := f.parse
+	line := f.line
+	text := name.text
+	if i := strings.IndexByte(text, '='); i >= 0 {
+		text = text[i+1:]
+	}
+	p.references = append(p.references, func() {
+		if p.rules.Pools[text].Kind != kind {
+			p.line = line
+			p.fault(name.column, text, "no pool of that name with kind="+string(kind))
+		}
+	})
+}
+
+// duration reads a positive duration. Fallback 0 makes the key mandatory.
+func (f *fields) duration(key string, fallback time.Duration) time.Duration {
+	v := f.valueOr(key, fallback == 0)
+	if v == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d <= 0 {
+		f.reject(key, "must be a positive duration such as 390ms or 20s")
+	}
+	return d
+}
+
+func (f *fields) valueOr(key string, mandatory bool) string {
+	if mandatory {
+		return f.required(key)
+	}
+	return f.optional(key, "")
+}
+
+func (f *fields) integer(key string, fallback int) int {
+	v := f.optional(key, strconv.Itoa(fallback))
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 {
+		f.reject(key, "must be a whole number, 0 or more")
+	}
+	return n
+}
+
+func (f *fields) number(key string, fallback float64) float64 {
+	v := f.optional(key, strconv.FormatFloat(fallback, 'g', -1, 64))
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= 0) || n > 1e9 {
+		f.reject(key, "must be a number from 0 to 1e9")
+	}
+	return n
+}
+
+func (f *fields) path(key, fallback string) string {
+	v := f.valueOr(key, fallback == "")
+	if v == "" {
+		return fallback
+	}
+	if !strings.HasPrefix(v, "/") {
+		f.reject(key, "must start with /")
+	}
+	return v
+}
--- /dev/null
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -0,0 +1,68 @@
+// Package quarantiner finds requests that crash the engines that run them.
+//
+// Every request running on an engine that dies becomes a suspect. A suspect that finishes is cleared; a suspect that
+// sees Deaths engines die is convicted.
+package quarantiner
+
+import "time"
+
+// Deaths is the number of engine deaths that convicts a request.
+const Deaths = 2
+
+// Suspect is what is known of a request's fingerprint.
+type Suspect struct {
+	Fingerprint uint64
+	Deaths      int
+	At          time.Time
+}
+
+// Quarantine counts deaths per fingerprint. It is not safe for concurrent use.
+type Quarantine struct {
+	keep     time.Duration
+	suspects map[uint64]Suspect
+}
+
+// New returns an empty Quarantine that forgets a suspect keep after its last death.
+func New(keep time.Duration) *Quarantine {
+	return &Quarantine{keep: keep, suspects: make(map[uint64]Suspect)}
+}
+
+// Died counts an engine's death against the request and returns the new count.
+func (q *Quarantine) Died(now time.Time, fingerprint uint64) Suspect {
+	q.forget(now)
+	s := q.suspects[fingerprint]
+	s = Suspect{Fingerprint: fingerprint, Deaths: s.Deaths + 1, At: now}
+	q.suspects[fingerprint] = s
+	return s
+}
+
+// Learn takes another host's count if it is higher. A count learned from elsewhere may only raise the own one.
+func (q *Quarantine) Learn(now time.Time, fingerprint uint64, deaths int) {
+	q.forget(now)
+	if s := q.suspects[fingerprint]; deaths > s.Deaths {
+		q.suspects[fingerprint] = Suspect{Fingerprint: fingerprint, Deaths: deaths, At: now}
+	}
+}
+
+// Finished clears the request unless it is convicted.
+func (q *Quarantine) Finished(fingerprint uint64) {
+	if q.suspects[fingerprint].Deaths < Deaths {
+		delete(q.suspects, fingerprint)
+	}
+}
+
+// IsSuspect tells whether an engine died under the request.
+func (q *Quarantine) IsSuspect(fingerprint uint64) bool { return q.suspects[fingerprint].Deaths > 0 }
+
+// IsConvicted tells whether the request may not run again.
+func (q *Quarantine) IsConvicted(fingerprint uint64) bool {
+	return q.suspects[fingerprint].Deaths >= Deaths
+}
+
+func (q *Quarantine) forget(now time.Time) {
+	for f, s := range q.suspects {
+		if now.Sub(s.At) > q.keep {
+			delete(q.suspects, f)
+		}
+	}
+}
--- /dev/null
+++ b/parts/coordination/tracker/tracker.go
@@ -0,0 +1,302 @@
+// Package tracker keeps the list of live hosts by sparse heartbeats with suspicion before removal.
+//
+// Each period a host pings one other host; updates about members ride on the pings and answers, so the traffic of a
+// host does not grow with their number. The list is a hint: no promise may depend on it.
+package tracker
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is what the list says of a host. A higher state replaces a lower one of the same incarnation.
+type State uint8
+
+// The states.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// Member is one host. A host raises its Incarnation to contradict what is said of it.
+type Member struct {
+	Name        string
+	Address     netip.AddrPort
+	Callers     netip.AddrPort
+	DataCentre  string
+	Incarnation uint64
+	State       State
+}
+
+// Message is a ping or its answer. Rules is the sender's version of the rule file.
+type Message struct {
+	Answer  bool
+	From    Member
+	Rules   uint64
+	Updates []Member
+}
+
+// Send is a message to be sent.
+type Send struct {
+	To      netip.AddrPort
+	Message Message
+}
+
+// Config holds the times of a Tracker.
+type Config struct {
+	// Period is the time between pings.
+	Period time.Duration
+	// AnswerTimeout is how long an answer to a ping is waited for.
+	AnswerTimeout time.Duration
+	// SuspicionTimeout is how long a suspect may contradict before it is dead.
+	SuspicionTimeout time.Duration
+	// Retention is how long the dead are remembered.
+	Retention time.Duration
+	// Updates is the number of members told in one message.
+	Updates int
+}
+
+// entry is a member with what this host remembers about it.
+type entry struct {
+	Member
+	since time.Time
+	told  int
+	rules uint64
+	heard time.Time
+}
+
+// Tracker is the membership as one host sees it. It is not safe for concurrent use.
+type Tracker struct {
+	cfg     Config
+	self    Member
+	rules   uint64
+	seeds   []netip.AddrPort
+	random  *rand.Rand
+	members map[string]*entry
+	order   []string
+	waiting map[string]time.Time
+}
+
+// New returns a Tracker that knows only its own host and the addresses of some others.
+func New(cfg Config, self Member, seeds []netip.AddrPort, random *rand.Rand) *Tracker {
+	return &Tracker{
+		cfg: cfg, self: self, seeds: seeds, random: random,
+		members: make(map[string]*entry),
+		waiting: make(map[string]time.Time),
+	}
+}
+
+// SetRules sets the version of the rule file that this host tells others.
+func (t *Tracker) SetRules(version uint64) { t.rules = version }
+
+// Leave marks the own host as leaving.
+func (t *Tracker) Leave() { t.self.State = Leaving }
+
+// Self returns the own host.
+func (t *Tracker) Self() Member { return t.self }
+
+// Members returns the other hosts in order of their names, the dead ones too.
+func (t *Tracker) Members() []Member {
+	members := make([]Member, 0, len(t.members))
+	for _, e := range t.members {
+		members = append(members, e.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
+// Rules returns the version of the rule file that host name was last heard to have.
+func (t *Tracker) Rules(name string) uint64 {
+	if e := t.members[name]; e != nil {
+		return e.rules
+	}
+	return 0
+}
+
+// Tick moves the states on and returns the pings of one period.
+func (t *Tracker) Tick(now time.Time) []Send {
+	t.expireAnswers(now)
+	t.expireStates(now)
+	var sends []Send
+	if name := t.nextTarget(); name != "" {
+		t.waiting[name] = now.Add(t.cfg.AnswerTimeout)
+		sends = append(sends, Send{To: t.members[name].Address, Message: t.message(false)})
+	}
+	if seed, ok := t.unknownSeed(); ok {
+		sends = append(sends, Send{To: seed, Message: t.message(false)})
+	}
+	return sends
+}
+
+// Receive takes a message and returns the answer to it, if it asks for one.
+func (t *Tracker) Receive(now time.Time, m Message) []Send {
+	known := t.members[m.From.Name] != nil
+	t.learn(now, m.From)
+	for _, u := range m.Updates {
+		t.learn(now, u)
+	}
+	if e := t.members[m.From.Name]; e != nil {
+		e.rules = m.Rules
+		e.heard = now
+		delete(t.waiting, m.From.Name)
+	}
+	if m.Answer {
+		return nil
+	}
+	answer := t.message(true)
+	if !known {
+		answer.Updates = t.everyone()
+	}
+	if e := t.members[m.From.Name]; e != nil && e.State != Alive {
+		answer.Updates = append(answer.Updates, e.Member)
+	}
+	return []Send{{To: m.From.Address, Message: answer}}
+}
+
+func (t *Tracker) everyone() []Member {
+	return slices.DeleteFunc(t.Members(), func(m Member) bool { return m.State == Dead })
+}
+
+func (t *Tracker) expireAnswers(now time.Time) {
+	for name, until := range t.waiting {
+		if now.Before(until) {
+			continue
+		}
+		delete(t.waiting, name)
+		if e := t.members[name]; e != nil && (e.State == Alive || e.State == Leaving) {
+			t.suspect(e, now)
+		}
+	}
+}
+
+// suspect keeps Leaving hosts leaving: they are removed when they stop answering.
+func (t *Tracker) suspect(e *entry, now time.Time) {
+	next := Suspect
+	if e.State == Leaving {
+		next = Dead
+	}
+	e.set(next, now)
+}
+
+func (e *entry) set(s State, now time.Time) {
+	e.State = s
+	e.since = now
+	e.told = 0
+}
+
+func (t *Tracker) expireStates(now time.Time) {
+	for name, e := range t.members {
+		age := now.Sub(e.since)
+		if e.State == Suspect && age >= t.cfg.SuspicionTimeout {
+			e.set(Dead, now)
+		}
+		if e.State == Dead && age >= t.cfg.Retention {
+			delete(t.members, name)
+		}
+	}
+}
+
+// nextTarget goes through the members in a random order, each once a round.
+func (t *Tracker) nextTarget() string {
+	for len(t.order) > 0 {
+		name := t.order[0]
+		t.order = t.order[1:]
+		if e := t.members[name]; e != nil && e.State != Dead {
+			return name
+		}
+	}
+	for name, e := range t.members {
+		if e.State != Dead {
+			t.order = append(t.order, name)
+		}
+	}
+	slices.Sort(t.order)
+	t.random.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+	if len(t.order) == 0 {
+		return ""
+	}
+	name := t.order[0]
+	t.order = t.order[1:]
+	return name
+}
+
+// unknownSeed keeps asking seeds that are not live members, so that two halves of a split find each other again.
+func (t *Tracker) unknownSeed() (netip.AddrPort, bool) {
+	if len(t.seeds) == 0 {
+		return netip.AddrPort{}, false
+	}
+	seed := t.seeds[t.random.IntN(len(t.seeds))]
+	if seed == t.self.Address {
+		return netip.AddrPort{}, false
+	}
+	for _, e := range t.members {
+		if e.Address == seed && e.State != Dead {
+			return netip.AddrPort{}, false
+		}
+	}
+	return seed, true
+}
+
+func (t *Tracker) message(answer bool) Message {
+	return Message{Answer: answer, From: t.self, Rules: t.rules, Updates: t.updates()}
+}
+
+// updates returns the members told least often, as long as they have been told fewer times than a rumour needs.
+func (t *Tracker) updates() []Member {
+	limit := 3 * bits.Len(uint(len(t.members)+1))
+	var fresh []*entry
+	for _, e := range t.members {
+		if e.told < limit {
+			fresh = append(fresh, e)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *entry) int {
+		if a.told != b.told {
+			return a.told - b.told
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	fresh = fresh[:min(len(fresh), t.cfg.Updates)]
+	updates := make([]Member, 0, len(fresh))
+	for _, e := range fresh {
+		e.told++
+		updates = append(updates, e.Member)
+	}
+	return updates
+}
+
+func (t *Tracker) learn(now time.Time, m Member) {
+	if m.Name == t.self.Name {
+		t.contradict(m)
+		return
+	}
+	e := t.members[m.Name]
+	if e == nil {
+		if m.State != Dead {
+			t.members[m.Name] = &entry{Member: m, since: now}
+		}
+		return
+	}
+	if m.Incarnation < e.Incarnation || (m.Incarnation == e.Incarnation && m.State <= e.State) {
+		return
+	}
+	if m.State == Alive && e.State == Leaving && m.Incarnation == e.Incarnation {
+		return
+	}
+	e.Member = m
+	e.set(m.State, now)
+}
+
+// contradict raises the own incarnation if others say that this host is suspect or dead.
+func (t *Tracker) contradict(m Member) {
+	if m.Incarnation < t.self.Incarnation || m.State == t.self.State || m.State == Alive {
+		return
+	}
+	t.self.Incarnation = m.Incarnation + 1
+}
--- /dev/null
+++ b/protocol/encoder/once.go
@@ -0,0 +1,138 @@
+package encoder
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/claimer"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+)
+
+// LengthError reports a field whose length is wrong.
+type LengthError struct {
+	Field string
+	Got   int
+	Want  int
+}
+
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("encoder: unable to read %s: %d bytes, want %d", e.Field, e.Got, e.Want)
+}
+
+// ClaimID returns id as a wire type.
+func ClaimID(id claimer.ID) wire.ClaimID {
+	return wire.ClaimID{Node: id.Node, Incarnation: id.Incarnation, Sequence: id.Sequence}
+}
+
+// ClaimerID returns w as a claim ID.
+func ClaimerID(w wire.ClaimID) claimer.ID {
+	return claimer.ID{Node: w.Node, Incarnation: w.Incarnation, Sequence: w.Sequence}
+}
+
+// Digest reads a digest from field of a message.
+func Digest(field string, data []byte) (claimer.Digest, error) {
+	var d claimer.Digest
+	if len(data) != len(d) {
+		return d, &LengthError{Field: field, Got: len(data), Want: len(d)}
+	}
+	copy(d[:], data)
+	return d, nil
+}
+
+// Holding returns h as a wire type.
+func Holding(h claimer.Holding) wire.Holding {
+	return wire.Holding{
+		Key: h.Key[:], ID: ClaimID(h.ID), Print: h.Fingerprint[:],
+		Time: int(h.At.UnixNano()), Done: h.Done, Status: h.Status,
+	}
+}
+
+// ClaimerHolding returns w as a holding.
+func ClaimerHolding(w wire.Holding) (claimer.Holding, error) {
+	key, err := Digest("key", w.Key)
+	if err != nil {
+		return claimer.Holding{}, err
+	}
+	fingerprint, err := Digest("print", w.Print)
+	if err != nil {
+		return claimer.Holding{}, err
+	}
+	return claimer.Holding{
+		Key: key, ID: ClaimerID(w.ID), Fingerprint: fingerprint,
+		At: time.Unix(0, int64(w.Time)), Done: w.Done, Status: w.Status,
+	}, nil
+}
+
+// OnceRecord returns the CBOR of p.
+func OnceRecord(p claimer.Payload) ([]byte, error) {
+	var r wire.OnceRecord
+	for _, e := range p.Entries {
+		r.Entries = append(r.Entries, wire.OnceEntry{
+			Kind: uint8(e.Kind), ID: ClaimID(e.ID), Key: e.Key[:], Print: e.Fingerprint[:], Status: e.Status,
+		})
+	}
+	if p.Checkpoint != nil {
+		r.Point = oncePoint(*p.Checkpoint)
+	}
+	return Encode(r)
+}
+
+func oncePoint(c claimer.Checkpoint) *wire.OncePoint {
+	w := &wire.OncePoint{Upto: c.Upto, Time: int(c.Now.UnixNano()), Part: c.Part, Parts: c.Parts}
+	for _, h := range c.Holdings {
+		w.Holdings = append(w.Holdings, Holding(h))
+	}
+	for _, r := range c.Released {
+		w.Released = append(w.Released, wire.Released{ID: ClaimID(r.ID), Time: int(r.At.UnixNano())})
+	}
+	return w
+}
+
+// OncePayload reads a record of a stream of claims.
+func OncePayload(data []byte) (claimer.Payload, error) {
+	w, err := Decode[wire.OnceRecord](data)
+	if err != nil {
+		return claimer.Payload{}, err
+	}
+	var p claimer.Payload
+	for _, e := range w.Entries {
+		entry, err := onceEntry(e)
+		if err != nil {
+			return claimer.Payload{}, err
+		}
+		p.Entries = append(p.Entries, entry)
+	}
+	if w.Point != nil {
+		p.Checkpoint, err = onceCheckpoint(w.Point)
+	}
+	return p, err
+}
+
+func onceEntry(w wire.OnceEntry) (claimer.Entry, error) {
+	key, err := Digest("key", w.Key)
+	if err != nil {
+		return claimer.Entry{}, err
+	}
+	fingerprint, err := Digest("print", w.Print)
+	if err != nil {
+		return claimer.Entry{}, err
+	}
+	return claimer.Entry{
+		Kind: claimer.Kind(w.Kind), ID: ClaimerID(w.ID), Key: key, Fingerprint: fingerprint, Status: w.Status,
+	}, nil
+}
+
+func onceCheckpoint(w *wire.OncePoint) (*claimer.Checkpoint, error) {
+	c := &claimer.Checkpoint{Upto: w.Upto, Now: time.Unix(0, int64(w.Time)), Part: w.Part, Parts: w.Parts}
+	for _, h := range w.Holdings {
+		holding, err := ClaimerHolding(h)
+		if err != nil {
+			return nil, err
+		}
+		c.Holdings = append(c.Holdings, holding)
+	}
+	for _, r := range w.Released {
+		c.Released = append(c.Released, claimer.Released{ID: ClaimerID(r.ID), At: time.Unix(0, int64(r.Time))})
+	}
+	return c, nil
+}
--- /dev/null
+++ b/transport/assembler/address.go
@@ -0,0 +1,22 @@
+package assembler
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/joomcode/errorx"
+)
+
+// reserve returns address with a free port in place of port 0, because hosts tell each other the callers' address
+// before its listener starts.
+func reserve(address netip.AddrPort) (netip.AddrPort, error) {
+	if address.Port() != 0 {
+		return address, nil
+	}
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return netip.AddrPort{}, errorx.Decorate(err, "assembler: unable to find a free port")
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
--- /dev/null
+++ b/transport/assembler/assembler.go
@@ -0,0 +1,301 @@
+// Package assembler builds an entry host of its parts, runs it and drains it.
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/version"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/transport/auditor"
+	"github.com/hornbeamspan/hornbeamspan/transport/enforcer"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/executor"
+	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+	"github.com/hornbeamspan/hornbeamspan/transport/forwarder"
+	"github.com/hornbeamspan/hornbeamspan/transport/generator"
+	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/listener"
+	"github.com/hornbeamspan/hornbeamspan/transport/logger"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/meter"
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/reaper"
+	"github.com/hornbeamspan/hornbeamspan/transport/registrar"
+	"github.com/hornbeamspan/hornbeamspan/transport/releaser"
+	"github.com/hornbeamspan/hornbeamspan/transport/reserver"
+	"github.com/hornbeamspan/hornbeamspan/transport/responder"
+	"github.com/hornbeamspan/hornbeamspan/transport/supervisor"
+	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+)
+
+// Config is the checked configuration of an entry host.
+type Config struct {
+	Name             string
+	DataCentre       string
+	Callers          netip.AddrPort
+	Operators        netip.AddrPort
+	Peers            netip.AddrPort
+	Seeds            []netip.AddrPort
+	Log              netip.AddrPort
+	Hosts            netip.AddrPort
+	PeerKey          string
+	OperatorKey      string
+	TLS              *tls.Config
+	Policy           generator.Policy
+	OnceStreams      int
+	OnceHorizon      time.Duration
+	OnceInterval     time.Duration
+	Carry            time.Duration
+	AddressLifetime  time.Duration
+	DrainTimeout     time.Duration
+	HostPeriod       time.Duration
+	LoadPeriod       time.Duration
+	SlotService      time.Duration
+	HeartbeatPeriod  time.Duration
+	SuspicionTimeout time.Duration
+	Seed             uint64
+}
+
+const (
+	// answerTimeout is the part of the heartbeat period that an answer may take.
+	answerTimeout = 0.8
+	// retention is how long dead hosts are remembered.
+	retention = 2 * time.Minute
+	// updates is the number of hosts told in one heartbeat.
+	updates = 6
+)
+
+// Host is a running entry host.
+type Host struct {
+	cfg       Config
+	logs      hclog.Logger
+	meter     *meter.Meter
+	messenger *messenger.Messenger
+	rules     *enforcer.Enforcer
+	gossiper  *gossiper.Gossiper
+	watcher   *watcher.Watcher
+	registrar *registrar.Registrar
+	reserver  *reserver.Reserver
+	releaser  *releaser.Releaser
+	auditor   *auditor.Auditor
+	reaper    *reaper.Reaper
+	responder *responder.Responder
+	callers   *listener.Listener
+	operators *listener.Listener
+	peers     *listener.Listener
+	draining  atomic.Bool
+	stop      context.CancelFunc
+	wait      sync.WaitGroup
+	done      chan struct{}
+}
+
+// Start builds the parts, listens and runs.
+func Start(cfg Config, logs hclog.Logger) (*Host, error) {
+	h := &Host{cfg: cfg, logs: logs, meter: meter.New("hornbeamspan"), done: make(chan struct{})}
+	incarnation := uint64(time.Now().UnixNano())
+	log := logger.New(cfg.Log)
+	h.messenger = messenger.New(cfg.PeerKey, logs, h.meter.Scope)
+	h.rules = enforcer.New(enforcer.Options{Log: log, Logs: logs, Carry: cfg.Carry, IsHome: func() bool { return h.isHome(enforcer.Stream) }})
+	callers, err := reserve(cfg.Callers)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := reserve(cfg.Peers)
+	if err != nil {
+		return nil, err
+	}
+	h.buildHosts(incarnation, callers, peers)
+	h.buildEndpoints()
+	h.auditor = auditor.New(cfg.Name, log, logs)
+	h.registrar = registrar.New(registrar.Options{
+		Log: log, Logs: logs, Streams: cfg.OnceStreams, Horizon: cfg.OnceHorizon, Interval: cfg.OnceInterval,
+		Carry: cfg.Carry, IsHome: h.isHome,
+	})
+	h.buildResponder(incarnation)
+	if err := h.listen(callers, peers); err != nil {
+		return nil, err
+	}
+	h.run()
+	eventer.Info(logs, eventer.Started, "host", cfg.Name, "version", version.Version,
+		"callers", h.callers.Address(), "operators", h.operators.Address(), "peers", h.peers.Address())
+	h.auditor.Record(cfg.Name, "host.start", cfg.Name, version.Version)
+	return h, nil
+}
+
+// random returns a source that differs between the parts and hosts but repeats with the seed.
+func (h *Host) random(part string) *rand.Rand {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(h.cfg.Name + "/" + part))
+	return rand.New(rand.NewPCG(h.cfg.Seed, f.Sum64()))
+}
+
+func (h *Host) isHome(stream string) bool {
+	_, own := h.gossiper.Home(stream)
+	return own
+}
+
+func (h *Host) buildHosts(incarnation uint64, callers, peers netip.AddrPort) {
+	h.gossiper = gossiper.New(gossiper.Options{
+		Self: tracker.Member{
+			Name: h.cfg.Name, Address: peers, Callers: callers, DataCentre: h.cfg.DataCentre, Incarnation: incarnation,
+		},
+		Seeds: h.cfg.Seeds,
+		Config: tracker.Config{
+			Period:           h.cfg.HeartbeatPeriod,
+			AnswerTimeout:    time.Duration(answerTimeout * float64(h.cfg.HeartbeatPeriod)),
+			SuspicionTimeout: h.cfg.SuspicionTimeout,
+			Retention:        retention,
+			Updates:          updates,
+		},
+		Messenger: h.messenger, Rules: h.rules, Random: h.random("heartbeats"), Logs: h.logs,
+	})
+}
+
+func (h *Host) buildEndpoints() {
+	h.watcher = watcher.New(watcher.Options{
+		Hosts: finder.New(h.cfg.Hosts), HostPeriod: h.cfg.HostPeriod, LoadPeriod: h.cfg.LoadPeriod,
+		IsEngine: h.isEngine, Reported: func(e watcher.Endpoint) { h.reserver.Report(e) }, Logs: h.logs,
+	})
+	h.reserver = reserver.New(reserver.Options{
+		Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.watcher, Service: h.cfg.SlotService,
+	})
+	h.releaser = releaser.New(h.logs)
+	h.reaper = reaper.New(h.gossiper, h.watcher, h.releaser, h.logs)
+}
+
+func (h *Host) isEngine(pool string) bool {
+	current := h.rules.Current()
+	if current == nil {
+		return false
+	}
+	kind := current.Rules.Pools[pool].Kind
+	return kind == parser.Prefill || kind == parser.Decode
+}
+
+func (h *Host) buildResponder(incarnation uint64) {
+	forward := forwarder.New(h.watcher, h.random("services"))
+	h.responder = responder.New(responder.Options{
+		Rules: h.rules, Hosts: h.gossiper, Forwarder: forward,
+		Supervisor: supervisor.New(h.gossiper, h.messenger, h.logs),
+		Generator: generator.New(generator.Options{
+			Node: h.cfg.Name, Incarnation: incarnation, Policy: h.cfg.Policy, Endpoints: h.watcher, Reserver: h.reserver,
+			Releaser: h.releaser, Hosts: h.gossiper, Messenger: h.messenger, Random: h.random("engines"), Logs: h.logs,
+		}),
+		Executor: executor.New(executor.Options{
+			Node: h.cfg.Name, Incarnation: incarnation, Hosts: h.gossiper, Messenger: h.messenger,
+			Registrar: h.registrar, Forwarder: forward, Logs: h.logs,
+		}),
+		Clock: clockwork.NewRealClock(), Scope: h.meter.Scope, Lifetime: h.cfg.AddressLifetime,
+	})
+}
+
+// listen opens the sockets once every part is ready to answer.
+func (h *Host) listen(callers, peers netip.AddrPort) error {
+	var err error
+	h.peers, err = listener.Listen(listener.Options{
+		Name: "peers", Address: peers,
+		Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: h.messenger.Accept}},
+	})
+	if err != nil {
+		return err
+	}
+	h.operators, err = listener.Listen(listener.Options{
+		Name: "operators", Address: h.cfg.Operators, TLS: h.cfg.TLS,
+		Routes: overseer.New(overseer.Options{
+			Key: h.cfg.OperatorKey, Rules: h.rules, Hosts: h.gossiper, Endpoints: h.watcher, Registrar: h.registrar,
+			Responder: h.responder, Auditor: h.auditor, Messenger: h.messenger, Metrics: h.meter.Handler, Draining: h.draining.Load,
+		}).Routes(),
+	})
+	if err != nil {
+		return err
+	}
+	h.callers, err = listener.Listen(listener.Options{
+		Name: "callers", Address: callers, TLS: h.cfg.TLS, Routes: h.responder.Routes(),
+		Subtrees: map[string]http.HandlerFunc{responder.ServicesPrefix: h.responder.Services()},
+	})
+	return err
+}
+
+func (h *Host) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	for _, part := range []func(context.Context){h.rules.Run, h.gossiper.Run, h.watcher.Run, h.auditor.Run, h.reaper.Run, h.followStreams} {
+		h.wait.Go(func() { part(ctx) })
+	}
+}
+
+// followStreams follows the streams of once calls that this host is home of, so that claims need not wait for reading.
+func (h *Host) followStreams(ctx context.Context) {
+	ticker := time.NewTicker(h.cfg.HeartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		for _, s := range h.registrar.Streams() {
+			if h.isHome(s) {
+				h.registrar.Follow(s)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain leaves the addresses given to callers, serves on until callers have forgotten them, finishes what is in
+// flight and stops. It returns at once if ctx ends.
+func (h *Host) Drain(ctx context.Context) {
+	h.draining.Store(true)
+	eventer.Info(h.logs, eventer.Draining, "host", h.cfg.Name, "inflight", h.responder.InFlight())
+	h.auditor.Record(h.cfg.Name, "host.drain", h.cfg.Name, "")
+	h.gossiper.Leave(ctx)
+	select {
+	case <-time.After(h.cfg.AddressLifetime):
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.DrainTimeout)
+	defer cancel()
+	_ = h.callers.Shutdown(ctx)
+	h.Close(ctx)
+}
+
+// Close stops all parts. What must reach the log is waited for until ctx ends.
+func (h *Host) Close(ctx context.Context) {
+	h.callers.Close()
+	h.releaser.Wait(ctx)
+	h.registrar.Close(ctx)
+	h.stop()
+	h.wait.Wait()
+	h.messenger.Close()
+	h.operators.Close()
+	h.peers.Close()
+	h.meter.Close()
+	eventer.Info(h.logs, eventer.Stopped, "host", h.cfg.Name)
+	close(h.done)
+}
+
+// Done is closed once the host has stopped.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Callers returns the address that callers use.
+func (h *Host) Callers() netip.AddrPort { return h.callers.Address() }
+
+// Operators returns the address that operators use.
+func (h *Host) Operators() netip.AddrPort { return h.operators.Address() }
+
+// Peers returns the address that other hosts use.
+func (h *Host) Peers() netip.AddrPort { return h.peers.Address() }
--- /dev/null
+++ b/transport/eventer/bridge.go
@@ -0,0 +1,50 @@
+package eventer
+
+import (
+	"fmt"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// bridge carries go-zero's log lines into hclog.
+type bridge struct {
+	logs hclog.Logger
+}
+
+var _ logx.Writer = (*bridge)(nil)
+
+func (b *bridge) write(level hclog.Level, v any, fields []logx.LogField) {
+	pairs := []any{"event", LibraryNote.Number, "note", fmt.Sprint(v)}
+	for _, f := range fields {
+		pairs = append(pairs, f.Key, fmt.Sprint(f.Value))
+	}
+	b.logs.Log(level, LibraryNote.Text, pairs...)
+}
+
+// Alert logs an error.
+func (b *bridge) Alert(v any) { b.write(hclog.Error, v, nil) }
+
+// Close does nothing.
+func (b *bridge) Close() error { return nil }
+
+// Debug logs at debug level.
+func (b *bridge) Debug(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
+
+// Error logs an error.
+func (b *bridge) Error(v any, fields ...logx.LogField) { b.write(hclog.Error, v, fields) }
+
+// Info logs at debug level: go-zero's notes are of no interest to operators.
+func (b *bridge) Info(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
+
+// Severe logs an error.
+func (b *bridge) Severe(v any) { b.write(hclog.Error, v, nil) }
+
+// Slow logs at debug level.
+func (b *bridge) Slow(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
+
+// Stack logs an error.
+func (b *bridge) Stack(v any) { b.write(hclog.Error, v, nil) }
+
+// Stat logs at debug level.
+func (b *bridge) Stat(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
--- /dev/null
+++ b/transport/eventer/eventer.go
@@ -0,0 +1,79 @@
+// Package eventer logs numbered events. The catalogue is docs/EVENTS.md.
+package eventer
+
+import (
+	"io"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// Event is a kind of log line with a number that never changes its meaning.
+type Event struct {
+	Number int
+	Text   string
+}
+
+// The events. Numbers below 200 are of the process, 2xx of the log, 3xx of rules, 4xx of hosts, 5xx of once calls,
+// 6xx of engines, 7xx of callers.
+var (
+	Started         = Event{101, "started"}
+	Draining        = Event{102, "draining"}
+	Stopped         = Event{103, "stopped"}
+	SettingsInvalid = Event{104, "settings invalid"}
+	LibraryNote     = Event{105, "note of a library"}
+	LogUnreachable  = Event{201, "log unreachable"}
+	StreamExpired   = Event{202, "records expired before they were read"}
+	RecordDamaged   = Event{203, "record unreadable"}
+	RulesInForce    = Event{301, "rules in force"}
+	RulesStalled    = Event{302, "rules not judged"}
+	RulesFromPeer   = Event{303, "rules taken from a peer"}
+	HostState       = Event{401, "host changed state"}
+	PeerRefused     = Event{402, "peer refused"}
+	ClaimUnknown    = Event{501, "claim given up"}
+	CallUnknown     = Event{502, "outcome of a once call unknown"}
+	AppendDeferred  = Event{503, "append deferred"}
+	EngineGone      = Event{601, "engine gone"}
+	ReleaseRetried  = Event{602, "release retried"}
+	EndpointLeaving = Event{603, "endpoint leaving"}
+	Convicted       = Event{604, "request convicted"}
+	Reaped          = Event{605, "request of a silent host cancelled"}
+	AttemptFailed   = Event{701, "attempt failed"}
+	Superseded      = Event{702, "attempt superseded by a resend"}
+	AuditLost       = Event{801, "audit record not appended"}
+)
+
+// Events lists every event.
+var Events = []Event{
+	Started, Draining, Stopped, SettingsInvalid, LibraryNote, LogUnreachable, StreamExpired, RecordDamaged,
+	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
+	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, AttemptFailed, Superseded, AuditLost,
+}
+
+// New returns a logger that writes lines to w, as JSON if json is set, and takes over go-zero's own log.
+func New(name, level string, json bool, w io.Writer) hclog.Logger {
+	l := hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.LevelFromString(level),
+		Output:     w,
+		JSONFormat: json,
+	})
+	// go-zero sets its log up once, at the first server; done here, it cannot replace the bridge later.
+	_ = logx.SetUp(logx.LogConf{Mode: "console"})
+	logx.SetWriter(&bridge{logs: l})
+	logx.DisableStat()
+	return l
+}
+
+// Info logs e with pairs of names and values.
+func Info(l hclog.Logger, e Event, pairs ...any) { l.Info(e.Text, e.with(pairs)...) }
+
+// Warn logs e with pairs of names and values.
+func Warn(l hclog.Logger, e Event, pairs ...any) { l.Warn(e.Text, e.with(pairs)...) }
+
+// Error logs e with pairs of names and values.
+func Error(l hclog.Logger, e Event, pairs ...any) { l.Error(e.Text, e.with(pairs)...) }
+
+func (e Event) with(pairs []any) []any {
+	return append([]any{"event", e.Number}, pairs...)
+}
--- /dev/null
+++ b/transport/generator/engines.go
@@ -0,0 +1,199 @@
+package generator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
+	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+)
+
+const (
+	// maxAnswer bounds the bytes of a prefill engine's answer.
+	maxAnswer = 1 << 20
+	// maxEvent bounds the bytes of one event of a stream.
+	maxEvent = 64 << 10
+	// probeTimeout bounds the question whether an engine still listens.
+	probeTimeout = 500 * time.Millisecond
+	// eventPrefix stands before the data of an event.
+	eventPrefix = "data: "
+	// endOfStream is the data of the last event of a whole answer.
+	endOfStream = "[DONE]"
+)
+
+// EngineError reports an engine that refused or broke off.
+type EngineError struct {
+	Engine string
+	Reason string
+}
+
+func (e *EngineError) Error() string {
+	return fmt.Sprintf("generator: unable to use engine %s: %s", e.Engine, e.Reason)
+}
+
+func (f *flow) body(stream bool) completer.Request {
+	body := f.request.Body
+	body.RequestID = f.id
+	body.Attempt = f.attempt
+	body.Priority = f.request.Model.Priority
+	body.Stream = stream
+	return body
+}
+
+func (g *Generator) post(ctx context.Context, e watcher.Endpoint, body completer.Request) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	r, err := dialer.Request(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", e.Address), bytes.NewReader(data), int64(len(data)))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, _, err := g.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			g.options.Endpoints.Leave(e.Name)
+		}
+		return nil, &EngineError{Engine: e.Name, Reason: resp.Status}
+	}
+	return resp, nil
+}
+
+// isDead tells whether e refuses connections.
+func (g *Generator) isDead(e watcher.Endpoint) bool {
+	conn, err := net.DialTimeout("tcp", e.Address.String(), probeTimeout)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
+func (f *flow) runPrefill(ctx context.Context, e watcher.Endpoint) error {
+	g := f.generator
+	f.tries++
+	f.attempt++
+	f.prefill = e
+	f.prefillAttempt = f.attempt
+	f.transfer = nil
+	if g.isSuspect(f.fingerprint) {
+		end, err := g.alone(ctx, e.Name)
+		if err != nil {
+			return err
+		}
+		defer end()
+	}
+	end := g.options.Endpoints.Begin(e.Name, f.request.Tokens)
+	defer end()
+	body := f.body(false)
+	body.MaxTokens = 1
+	body.Transfer = &completer.Transfer{RemoteDecode: true}
+	answer, err := g.prefill(ctx, e, body)
+	if err != nil {
+		return f.fail(ctx, e, err)
+	}
+	g.prefixes.Set(f.prefix(), e.Name)
+	g.options.Endpoints.Report(e.Name, answer.Load)
+	hold := time.Duration(answer.Transfer.HoldMillis)*time.Millisecond - holdMargin
+	f.transfer = &answer.Transfer
+	f.transferEnd = time.Now().Add(hold)
+	return nil
+}
+
+func (g *Generator) prefill(ctx context.Context, e watcher.Endpoint, body completer.Request) (completer.PrefillAnswer, error) {
+	var answer completer.PrefillAnswer
+	resp, err := g.post(ctx, e, body)
+	if err != nil {
+		return answer, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer)
+	if err != nil {
+		return answer, errorx.Decorate(err, "generator: unable to read the answer of %s", e.Name)
+	}
+	return answer, nil
+}
+
+// runDecode streams from e, beginning at the first token that was not emitted yet.
+func (f *flow) runDecode(ctx context.Context, e watcher.Endpoint) error {
+	g := f.generator
+	f.attempt++
+	end := g.options.Endpoints.Begin(e.Name, 0)
+	defer end()
+	body := f.body(true)
+	body.Resume = f.position
+	body.Transfer = f.transfer
+	resp, err := g.post(ctx, e, body)
+	if err == nil {
+		err = f.stream(e, resp.Body)
+		_ = resp.Body.Close()
+	}
+	if err == nil {
+		return nil
+	}
+	f.tries++
+	return f.fail(ctx, e, err)
+}
+
+// stream emits tokens until the end of the answer. Only the end marker after the token that the
+// engine marked as the last makes it whole.
+func (f *flow) stream(e watcher.Endpoint, body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxEvent)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), eventPrefix)
+		if !ok {
+			continue
+		}
+		if data == endOfStream {
+			return f.checkWhole(e)
+		}
+		if err := f.take(e, data); err != nil {
+			return err
+		}
+	}
+	return &EngineError{Engine: e.Name, Reason: "the stream broke off at token " + fmt.Sprint(f.position)}
+}
+
+func (f *flow) checkWhole(e watcher.Endpoint) error {
+	if !f.ended {
+		return &EngineError{Engine: e.Name, Reason: "the stream ended early at token " + fmt.Sprint(f.position)}
+	}
+	return nil
+}
+
+// take emits one chunk. Chunks of another attempt and tokens emitted before are dropped; a gap ends the attempt.
+func (f *flow) take(e watcher.Endpoint, data string) error {
+	var chunk completer.Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return errorx.Decorate(err, "generator: unable to read a chunk of %s", e.Name)
+	}
+	if chunk.Attempt != f.attempt || chunk.Position < f.position || len(chunk.Choices) == 0 {
+		return nil
+	}
+	if chunk.Position > f.position {
+		return &EngineError{Engine: e.Name, Reason: fmt.Sprintf("token %d came where %d was due", chunk.Position, f.position)}
+	}
+	if err := f.emit(chunk.Choices[0].Delta.Content); err != nil {
+		return err
+	}
+	f.position++
+	f.ended = chunk.Choices[0].FinishReason != ""
+	return nil
+}
--- /dev/null
+++ b/transport/generator/generator.go
@@ -0,0 +1,207 @@
+// Package generator takes generated requests through a prefill engine and a decode engine.
+package generator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/balancer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/quarantiner"
+	"github.com/hornbeamspan/hornbeamspan/parts/state/sharder"
+	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
+	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/releaser"
+	"github.com/hornbeamspan/hornbeamspan/transport/reserver"
+	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+)
+
+const (
+	// maxTries bounds the attempts at engines for one request.
+	maxTries = 4
+	// retryRatio is the number of further attempts per request that the budget allows.
+	retryRatio = 0.1
+	// retryReserve is the number of further attempts that may come at once.
+	retryReserve = 20
+	// quarantineAge is how long a suspect is remembered.
+	quarantineAge = 10 * time.Minute
+	// comeBack is when a caller may try again if nothing better is known.
+	comeBack = time.Second
+)
+
+// Policy is the way an engine is chosen.
+type Policy string
+
+// The policies. Book is the system's own; the others are baselines that book nothing and refuse nothing.
+const (
+	Book    Policy = "book"
+	Choices Policy = "choices"
+	Robin   Policy = "robin"
+	Random  Policy = "random"
+)
+
+// Request is a generated request of a caller.
+type Request struct {
+	Model  parser.Model
+	Body   completer.Request
+	Prompt string
+	Tokens int
+}
+
+// RefusedError reports a request that no engine has worked on.
+type RefusedError struct {
+	Code       string
+	Status     int
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string { return "generator: unable to serve: " + e.Reason }
+
+// FailedError reports a request whose attempts at engines all failed.
+type FailedError struct {
+	Tries  int
+	Reason string
+}
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("generator: unable to finish after %d tries: %s", e.Tries, e.Reason)
+}
+
+// Options are the settings and parts of a Generator.
+type Options struct {
+	Node        string
+	Incarnation uint64
+	Policy      Policy
+	Endpoints   *watcher.Watcher
+	Reserver    *reserver.Reserver
+	Releaser    *releaser.Releaser
+	Hosts       *gossiper.Gossiper
+	Messenger   *messenger.Messenger
+	Random      *rand.Rand
+	Logs        hclog.Logger
+}
+
+// Generator serves generated requests.
+type Generator struct {
+	options    Options
+	http       *dialer.Client
+	sequence   atomic.Uint64
+	mu         sync.Mutex
+	policies   map[Policy]balancer.Policy[watcher.Endpoint]
+	budget     limiter.Budget
+	quarantine *quarantiner.Quarantine
+	prefixes   *sharder.Map[uint64, string]
+	suspects   *sharder.Map[string, chan struct{}]
+}
+
+// New returns a Generator and takes the kinds of messages it answers.
+func New(o Options) *Generator {
+	g := &Generator{
+		options:    o,
+		http:       dialer.New("engines", nil),
+		budget:     limiter.Budget{Ratio: retryRatio, Reserve: retryReserve},
+		quarantine: quarantiner.New(quarantineAge),
+		prefixes:   sharder.New[uint64, string](func(k uint64) uint64 { return k }),
+		suspects:   sharder.New[string, chan struct{}](xxhash.Sum64String),
+	}
+	g.policies = map[Policy]balancer.Policy[watcher.Endpoint]{
+		Choices: &balancer.TwoChoices[watcher.Endpoint]{Source: o.Random, Cost: cost},
+		Robin:   &balancer.RoundRobin[watcher.Endpoint]{},
+		Random:  &balancer.Random[watcher.Endpoint]{Source: o.Random},
+	}
+	messenger.Handle(o.Messenger, kindSuspect, g.learnSuspect)
+	return g
+}
+
+// cost is the share of an engine's slots in use by its last report, or its backlog if it reads prompts.
+func cost(e watcher.Endpoint) float64 {
+	if e.Load.Role == "prefill" {
+		return float64(e.Load.Backlog + e.Tokens)
+	}
+	used := max(e.Load.Running+e.Load.Waiting, e.InFlight)
+	return float64(used) / float64(max(1, e.Load.Slots))
+}
+
+// Generate serves req and hands each token to emit in order. If it returns nil, every token was emitted. The error is
+// a *RefusedError, a *FailedError or the end of ctx.
+func (g *Generator) Generate(ctx context.Context, req Request, emit func(string) error) error {
+	fingerprint := xxhash.Sum64String(req.Prompt)
+	if g.isConvicted(fingerprint) {
+		return convicted()
+	}
+	f := &flow{
+		generator: g, request: req, emit: emit, fingerprint: fingerprint,
+		id: fmt.Sprintf("%s/%d/%d", g.options.Node, g.options.Incarnation, g.sequence.Add(1)),
+	}
+	g.countAttempt()
+	for {
+		err := f.try(ctx)
+		if err == nil {
+			g.finished(fingerprint)
+			return nil
+		}
+		if stop := f.stop(ctx, err); stop != nil {
+			return stop
+		}
+	}
+}
+
+func convicted() *RefusedError {
+	return &RefusedError{
+		Code: "request_convicted", Status: http.StatusUnprocessableEntity,
+		Reason: "engines crashed while they ran this request",
+	}
+}
+
+// stop returns the final error after a failed attempt, or nil if another attempt may follow.
+func (f *flow) stop(ctx context.Context, err error) error {
+	g := f.generator
+	var refused *RefusedError
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case errors.As(err, &refused) && f.tries > 0:
+		return &FailedError{Tries: f.tries, Reason: refused.Reason}
+	case errors.As(err, &refused):
+		return refused
+	case g.isConvicted(f.fingerprint):
+		return convicted()
+	case f.tries >= maxTries || !g.takeRetry():
+		return &FailedError{Tries: f.tries, Reason: err.Error()}
+	}
+	return nil
+}
+
+func (g *Generator) countAttempt() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Attempt()
+}
+
+func (g *Generator) takeRetry() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Retry()
+}
+
+func (g *Generator) pick(p Policy, candidates []watcher.Endpoint) watcher.Endpoint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p == Book {
+		p = Choices
+	}
+	return candidates[g.policies[p].Pick(candidates)]
+}
--- /dev/null
+++ b/transport/gossiper/gossiper.go
@@ -0,0 +1,211 @@
+// Package gossiper keeps the list of hosts by exchanging heartbeats with others.
+package gossiper
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/publisher"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/enforcer"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+)
+
+// The kinds of messages.
+const (
+	kindGossip = "gossip"
+	kindRules  = "rules"
+	kindAsk    = "version"
+)
+
+// Options are the settings of a Gossiper.
+type Options struct {
+	Self      tracker.Member
+	Seeds     []netip.AddrPort
+	Config    tracker.Config
+	Messenger *messenger.Messenger
+	Rules     *enforcer.Enforcer
+	Random    *rand.Rand
+	Logs      hclog.Logger
+}
+
+// Gossiper runs a tracker.
+type Gossiper struct {
+	options Options
+	mu      sync.Mutex
+	tracker *tracker.Tracker
+	states  map[string]tracker.State
+	done    chan struct{}
+}
+
+// New returns a Gossiper and takes the kinds of messages it answers.
+func New(o Options) *Gossiper {
+	g := &Gossiper{
+		options: o,
+		tracker: tracker.New(o.Config, o.Self, o.Seeds, o.Random),
+		states:  make(map[string]tracker.State),
+		done:    make(chan struct{}),
+	}
+	messenger.Handle(o.Messenger, kindGossip, g.receive)
+	messenger.Handle(o.Messenger, kindRules, g.takeRules)
+	messenger.Handle(o.Messenger, kindAsk, g.tellVersion)
+	return g
+}
+
+// Done is closed once Run has returned.
+func (g *Gossiper) Done() <-chan struct{} { return g.done }
+
+// Run sends heartbeats until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) {
+	defer close(g.done)
+	ticker := time.NewTicker(g.options.Config.Period)
+	defer ticker.Stop()
+	for {
+		for _, s := range g.tick() {
+			go g.send(ctx, s)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (g *Gossiper) tick() []tracker.Send {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.SetRules(g.options.Rules.Version())
+	sends := g.tracker.Tick(time.Now())
+	g.note()
+	return sends
+}
+
+// note logs hosts whose state changed. The caller holds mu.
+func (g *Gossiper) note() {
+	for _, m := range g.tracker.Members() {
+		if old, ok := g.states[m.Name]; !ok || old != m.State {
+			g.states[m.Name] = m.State
+			eventer.Info(g.options.Logs, eventer.HostState, "host", m.Name, "state", StateName(m.State))
+		}
+	}
+}
+
+// StateName returns the word for s.
+func StateName(s tracker.State) string {
+	return [...]string{"alive", "suspect", "leaving", "dead"}[min(s, tracker.Dead)]
+}
+
+func (g *Gossiper) send(ctx context.Context, s tracker.Send) {
+	_ = messenger.Tell(ctx, g.options.Messenger, s.To, kindGossip, encoder.Gossip(s.Message))
+}
+
+func (g *Gossiper) receive(ctx context.Context, w wire.Gossip) (wire.Empty, error) {
+	m, err := encoder.TrackerMessage(w)
+	if err != nil {
+		return wire.Empty{}, err
+	}
+	g.mu.Lock()
+	g.tracker.SetRules(g.options.Rules.Version())
+	answers := g.tracker.Receive(time.Now(), m)
+	g.note()
+	g.mu.Unlock()
+	for _, a := range answers {
+		g.send(ctx, a)
+	}
+	g.push(ctx, m)
+	return wire.Empty{}, nil
+}
+
+// push sends the rule file to a host that has an older one, so that rules spread while the log is out.
+func (g *Gossiper) push(ctx context.Context, m tracker.Message) {
+	current := g.options.Rules.Current()
+	if current == nil || m.Rules >= current.File.Version {
+		return
+	}
+	f := current.File
+	_ = messenger.Tell(ctx, g.options.Messenger, m.From.Address, kindRules, wire.RulesPush{Version: f.Version, Text: f.Text, Author: f.Author})
+}
+
+func (g *Gossiper) takeRules(_ context.Context, w wire.RulesPush) (wire.Empty, error) {
+	g.options.Rules.Offer(publisher.File{Version: w.Version, Text: w.Text, Author: w.Author})
+	return wire.Empty{}, nil
+}
+
+func (g *Gossiper) tellVersion(context.Context, wire.RulesAsk) (wire.RulesHave, error) {
+	return wire.RulesHave{Version: g.options.Rules.Version()}, nil
+}
+
+// AskVersion asks a host for its version of the rules.
+func (g *Gossiper) AskVersion(ctx context.Context, m tracker.Member) (uint64, error) {
+	have, err := messenger.Call[wire.RulesAsk, wire.RulesHave](ctx, g.options.Messenger, m.Address, kindAsk, wire.RulesAsk{})
+	return have.Version, err
+}
+
+// Leave tells others that this host leaves.
+func (g *Gossiper) Leave(ctx context.Context) {
+	g.mu.Lock()
+	g.tracker.Leave()
+	members := g.tracker.Members()
+	message := tracker.Message{From: g.tracker.Self(), Rules: g.options.Rules.Version()}
+	g.mu.Unlock()
+	for _, m := range members {
+		if m.State != tracker.Dead {
+			go g.send(ctx, tracker.Send{To: m.Address, Message: message})
+		}
+	}
+}
+
+// Self returns the own host.
+func (g *Gossiper) Self() tracker.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Self()
+}
+
+// Members returns all other hosts.
+func (g *Gossiper) Members() []tracker.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Members()
+}
+
+// Serving returns the hosts that are not known to leave or to be out of reach, the own one included.
+func (g *Gossiper) Serving() []tracker.Member {
+	var list []tracker.Member
+	if self := g.Self(); self.State == tracker.Alive {
+		list = append(list, self)
+	}
+	for _, m := range g.Members() {
+		if m.State == tracker.Alive {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Home returns the host that serves key for all, and whether it is the own one.
+func (g *Gossiper) Home(key string) (tracker.Member, bool) {
+	self := g.Self()
+	serving := g.Serving()
+	names := make([]string, len(serving))
+	for i, m := range serving {
+		names[i] = m.Name
+	}
+	home := ranker.Home(key, names)
+	for _, m := range serving {
+		if m.Name == home {
+			return m, m.Name == self.Name
+		}
+	}
+	return self, true
+}
--- /dev/null
+++ b/transport/messenger/messenger.go
@@ -0,0 +1,218 @@
+// Package messenger carries typed calls between hosts over WebSocket in CBOR.
+package messenger
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+)
+
+const (
+	// Path is where hosts accept sessions of others.
+	Path = "/v1/peers"
+	// answerKind marks the answer to a call.
+	answerKind = "answer"
+	// maxMessage bounds the bytes of one message.
+	maxMessage = 8 << 20
+	// idleTimeout is how long an unused session stays open.
+	idleTimeout = 60 * time.Second
+	// connectTimeout bounds the opening of a session.
+	connectTimeout = time.Second
+	// writeTimeout bounds the sending of one message.
+	writeTimeout = 2 * time.Second
+)
+
+// RemoteError is a failure that another host reports.
+type RemoteError struct {
+	Kind   string
+	Reason string
+}
+
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("messenger: unable to have %s done by the other host: %s", e.Kind, e.Reason)
+}
+
+// handler answers one kind of call.
+type handler func(ctx context.Context, body []byte) ([]byte, error)
+
+// Messenger holds the sessions of a host with others.
+type Messenger struct {
+	key      string
+	logs     hclog.Logger
+	handlers map[string]handler
+	mu       sync.Mutex
+	sessions map[netip.AddrPort]*session
+	received tally.Counter
+	sent     tally.Counter
+	bytes    atomic.Int64
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// New returns a Messenger whose hosts prove themselves by key.
+func New(key string, logs hclog.Logger, scope tally.Scope) *Messenger {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Messenger{
+		key:      key,
+		logs:     logs,
+		handlers: make(map[string]handler),
+		sessions: make(map[netip.AddrPort]*session),
+		received: scope.Counter("peer_received_bytes"),
+		sent:     scope.Counter("peer_sent_bytes"),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+	}
+}
+
+// Handle answers calls of kind by h. All kinds are set before the first session.
+func Handle[Req, Resp any](m *Messenger, kind string, h func(context.Context, Req) (Resp, error)) {
+	m.handlers[kind] = func(ctx context.Context, body []byte) ([]byte, error) {
+		req, err := encoder.Decode[Req](body)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := h(ctx, req)
+		if err != nil {
+			return nil, err
+		}
+		return encoder.Encode(resp)
+	}
+}
+
+// Call sends req to the host at to and waits for the answer.
+func Call[Req, Resp any](ctx context.Context, m *Messenger, to netip.AddrPort, kind string, req Req) (Resp, error) {
+	var zero Resp
+	s, err := m.session(ctx, to)
+	if err != nil {
+		return zero, err
+	}
+	body, err := encoder.Encode(req)
+	if err != nil {
+		return zero, err
+	}
+	answer, err := s.call(ctx, kind, body)
+	if err != nil {
+		return zero, errorx.Decorate(err, "messenger: unable to call %s at %s", kind, to)
+	}
+	if answer.Error != "" {
+		return zero, &RemoteError{Kind: kind, Reason: answer.Error}
+	}
+	return encoder.Decode[Resp](answer.Body)
+}
+
+// Tell sends req to the host at to and waits for no answer.
+func Tell[Req any](ctx context.Context, m *Messenger, to netip.AddrPort, kind string, req Req) error {
+	s, err := m.session(ctx, to)
+	if err != nil {
+		return err
+	}
+	body, err := encoder.Encode(req)
+	if err != nil {
+		return err
+	}
+	return s.write(ctx, wire.Envelope{Kind: kind, Body: body})
+}
+
+// Bytes returns the bytes of all messages sent and received.
+func (m *Messenger) Bytes() int64 { return m.bytes.Load() }
+
+// Done is closed once Close has been called.
+func (m *Messenger) Done() <-chan struct{} { return m.done }
+
+// Close ends all sessions.
+func (m *Messenger) Close() {
+	m.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.sessions {
+		_ = s.conn.CloseNow()
+	}
+	select {
+	case <-m.done:
+	default:
+		close(m.done)
+	}
+}
+
+func (m *Messenger) session(ctx context.Context, to netip.AddrPort) (*session, error) {
+	m.mu.Lock()
+	s := m.sessions[to]
+	if s == nil {
+		s = newSession(m, nil)
+		m.sessions[to] = s
+		go m.open(s, to)
+	}
+	m.mu.Unlock()
+	select {
+	case <-s.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if s.failed != nil {
+		return nil, s.failed
+	}
+	return s, nil
+}
+
+// open connects s and reads from it until it ends.
+func (m *Messenger) open(s *session, to netip.AddrPort) {
+	defer m.forget(s, to)
+	ctx, cancel := context.WithTimeout(m.ctx, connectTimeout)
+	defer cancel()
+	header := http.Header{"Authorization": {"Bearer " + m.key}}
+	conn, resp, err := websocket.Dial(ctx, fmt.Sprintf("ws://%s%s", to, Path), &websocket.DialOptions{HTTPHeader: header})
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		s.failed = errorx.Decorate(err, "messenger: unable to reach %s", to)
+		close(s.ready)
+		return
+	}
+	s.conn = conn
+	close(s.ready)
+	s.read(m.ctx)
+}
+
+func (m *Messenger) forget(s *session, to netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sessions[to] == s {
+		delete(m.sessions, to)
+	}
+}
+
+// Accept serves the session of another host.
+func (m *Messenger) Accept(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(key), []byte(m.key)) != 1 {
+		eventer.Warn(m.logs, eventer.PeerRefused, "address", r.RemoteAddr, "reason", "wrong key")
+		http.Error(w, "wrong key", http.StatusUnauthorized)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		eventer.Warn(m.logs, eventer.PeerRefused, "address", r.RemoteAddr, "reason", err.Error())
+		return
+	}
+	s := newSession(m, conn)
+	close(s.ready)
+	s.read(m.ctx)
+}
--- /dev/null
+++ b/transport/messenger/session.go
@@ -0,0 +1,142 @@
+package messenger
+
+import (
+	"context"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/joomcode/errorx"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+)
+
+// frameOverhead is the size in bytes of a masked WebSocket header of a small message.
+const frameOverhead = 8
+
+var errClosed = errorx.ExternalError.New("session closed")
+
+// session is one connection with another host. The one who opened it calls, the other answers.
+type session struct {
+	messenger *Messenger
+	conn      *websocket.Conn
+	ready     chan struct{}
+	failed    error
+	closed    chan struct{}
+	mu        sync.Mutex
+	last      uint64
+	waiting   map[uint64]chan wire.Envelope
+}
+
+func newSession(m *Messenger, conn *websocket.Conn) *session {
+	return &session{
+		messenger: m,
+		conn:      conn,
+		ready:     make(chan struct{}),
+		closed:    make(chan struct{}),
+		waiting:   make(map[uint64]chan wire.Envelope),
+	}
+}
+
+func (s *session) call(ctx context.Context, kind string, body []byte) (wire.Envelope, error) {
+	number, answer := s.expect()
+	defer s.abandon(number)
+	if err := s.write(ctx, wire.Envelope{Call: number, Kind: kind, Body: body}); err != nil {
+		return wire.Envelope{}, err
+	}
+	select {
+	case e := <-answer:
+		return e, nil
+	case <-s.closed:
+		return wire.Envelope{}, errClosed
+	case <-ctx.Done():
+		return wire.Envelope{}, ctx.Err()
+	}
+}
+
+func (s *session) expect() (uint64, <-chan wire.Envelope) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	answer := make(chan wire.Envelope, 1)
+	s.waiting[s.last] = answer
+	return s.last, answer
+}
+
+func (s *session) abandon(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, number)
+}
+
+// write sends e within writeTimeout, whatever becomes of ctx: a message cut short would end the session.
+func (s *session) write(ctx context.Context, e wire.Envelope) error {
+	data, err := encoder.Encode(e)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	defer cancel()
+	if err := s.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return errorx.Decorate(err, "messenger: unable to send")
+	}
+	s.messenger.sent.Inc(int64(len(data) + frameOverhead))
+	s.messenger.bytes.Add(int64(len(data) + frameOverhead))
+	return nil
+}
+
+// read handles messages until the session ends or is idle for idleTimeout.
+func (s *session) read(ctx context.Context) {
+	defer close(s.closed)
+	defer func() { _ = s.conn.CloseNow() }()
+	s.conn.SetReadLimit(maxMessage)
+	for {
+		data, err := s.next(ctx)
+		if err != nil {
+			return
+		}
+		e, err := encoder.Decode[wire.Envelope](data)
+		if err != nil {
+			return
+		}
+		s.dispatch(ctx, e)
+	}
+}
+
+func (s *session) next(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
+	defer cancel()
+	_, data, err := s.conn.Read(ctx)
+	s.messenger.received.Inc(int64(len(data) + frameOverhead))
+	s.messenger.bytes.Add(int64(len(data) + frameOverhead))
+	return data, err
+}
+
+func (s *session) dispatch(ctx context.Context, e wire.Envelope) {
+	if e.Kind == answerKind {
+		s.mu.Lock()
+		answer := s.waiting[e.Call]
+		delete(s.waiting, e.Call)
+		s.mu.Unlock()
+		if answer != nil {
+			answer <- e
+		}
+		return
+	}
+	go s.serve(ctx, e)
+}
+
+func (s *session) serve(ctx context.Context, e wire.Envelope) {
+	answer := wire.Envelope{Call: e.Call, Kind: answerKind}
+	h := s.messenger.handlers[e.Kind]
+	if h == nil {
+		answer.Error = "unknown kind " + e.Kind
+	} else if body, err := h(ctx, e.Body); err != nil {
+		answer.Error = err.Error()
+	} else {
+		answer.Body = body
+	}
+	if e.Call != 0 {
+		_ = s.write(ctx, answer)
+	}
+}
--- /dev/null
+++ b/transport/reaper/reaper.go
@@ -0,0 +1,127 @@
+// Package reaper cancels at engines what hosts hold there that have died or frozen.
+//
+// A host that dies closes its connections, and engines free what it held. A host that freezes closes nothing: the
+// owner of each engine frees it once the host is held for dead.
+package reaper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/releaser"
+	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+)
+
+const (
+	// period is the time between two looks at the engines while a host is held for dead.
+	period = time.Second
+	// timeout bounds one question to an engine.
+	timeout = time.Second
+	// maxAnswer bounds the bytes of an engine's answer.
+	maxAnswer = 4 << 20
+)
+
+// Flight is one request that holds something on an engine.
+type Flight struct {
+	ID      string `json:"id"`
+	Attempt uint64 `json:"attempt"`
+}
+
+// Listing is an engine's answer to a question for its requests.
+type Listing struct {
+	Flights []Flight `json:"flights"`
+}
+
+// Reaper looks at the engines that this host owns.
+type Reaper struct {
+	http      *dialer.Client
+	hosts     *gossiper.Gossiper
+	endpoints *watcher.Watcher
+	releaser  *releaser.Releaser
+	logs      hclog.Logger
+	done      chan struct{}
+}
+
+// New returns a Reaper.
+func New(hosts *gossiper.Gossiper, endpoints *watcher.Watcher, r *releaser.Releaser, logs hclog.Logger) *Reaper {
+	return &Reaper{
+		http: dialer.New("reap", nil), hosts: hosts, endpoints: endpoints, releaser: r, logs: logs, done: make(chan struct{}),
+	}
+}
+
+// Done is closed once Run has returned.
+func (p *Reaper) Done() <-chan struct{} { return p.done }
+
+// Run looks until ctx ends.
+func (p *Reaper) Run(ctx context.Context) {
+	defer close(p.done)
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.look(ctx)
+		}
+	}
+}
+
+func (p *Reaper) look(ctx context.Context) {
+	dead := make(map[string]bool)
+	for _, m := range p.hosts.Members() {
+		if m.State == tracker.Dead {
+			dead[m.Name] = true
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	for _, e := range p.endpoints.All() {
+		if _, own := p.hosts.Home("engine/" + e.Name); own && e.Load.Engine != "" {
+			p.reap(ctx, e, dead)
+		}
+	}
+}
+
+func (p *Reaper) reap(ctx context.Context, e watcher.Endpoint, dead map[string]bool) {
+	flights, err := p.flights(ctx, e)
+	if err != nil {
+		return
+	}
+	for _, f := range flights {
+		host, _, _ := strings.Cut(f.ID, "/")
+		if dead[host] {
+			eventer.Info(p.logs, eventer.Reaped, "engine", e.Name, "request", f.ID)
+			p.releaser.Release(e, f.ID, f.Attempt)
+		}
+	}
+}
+
+func (p *Reaper) flights(ctx context.Context, e watcher.Endpoint) ([]Flight, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := dialer.Request(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/requests", e.Address), nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	resp, _, err := p.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var l Listing
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&l)
+	return l.Flights, err
+}
--- /dev/null
+++ b/transport/responder/complete.go
@@ -0,0 +1,235 @@
+package responder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
+	"github.com/hornbeamspan/hornbeamspan/transport/executor"
+	"github.com/hornbeamspan/hornbeamspan/transport/generator"
+	"github.com/hornbeamspan/hornbeamspan/transport/supervisor"
+)
+
+const (
+	// maxOutput bounds the tokens of one answer.
+	maxOutput = 32768
+	// defaultOutput is the number of tokens if the caller names none.
+	defaultOutput = 256
+	// finishFactor times the finish target is when a request is given up.
+	finishFactor = 3
+)
+
+// Completion is the answer to a request without streaming.
+type Completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []CompletionChoice `json:"choices"`
+	Usage   completer.Usage    `json:"usage"`
+}
+
+// CompletionChoice is the one choice of a Completion.
+type CompletionChoice struct {
+	Index        int               `json:"index"`
+	Message      completer.Message `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+// fieldError reports a field of a body that cannot be used.
+type fieldError struct {
+	field  string
+	reason string
+	status int
+}
+
+func (e *fieldError) Error() string { return e.field + ": " + e.reason }
+
+func (s *Responder) complete(w http.ResponseWriter, r *http.Request, c caller) {
+	req, err := parseCompletion(w, r, c)
+	var bad *fieldError
+	if errors.As(err, &bad) {
+		fail(w, bad.status, badField(bad.field, bad.reason))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), finishFactor*req.Model.Finish)
+	defer cancel()
+	if c.chosen {
+		entered, leave := s.options.Supervisor.Enter(ctx, supervisor.Key{Organisation: c.organisation.Name, Request: c.requestID})
+		defer leave()
+		ctx = entered
+	}
+	begin := s.options.Clock.Now()
+	out := newOutput(w, c.requestID, req)
+	err = s.options.Generator.Generate(ctx, req, out.token)
+	s.measure(req, begin, out, err)
+	out.end(err)
+}
+
+// measure counts an answer, and whether both latency targets were met.
+func (s *Responder) measure(req generator.Request, begin time.Time, out *output, err error) {
+	scope := s.options.Scope.Tagged(map[string]string{"model": req.Model.Name})
+	scope.Counter("summaries").Inc(1)
+	if err != nil {
+		scope.Counter("summaries_failed").Inc(1)
+		return
+	}
+	total := s.options.Clock.Since(begin)
+	scope.Timer("finish").Record(total)
+	if out.first.Sub(begin) <= req.Model.Start && total <= req.Model.Finish {
+		scope.Counter("summaries_in_time").Inc(1)
+	}
+}
+
+func parseCompletion(w http.ResponseWriter, r *http.Request, c caller) (generator.Request, error) {
+	var body completer.Request
+	if err := readJSON(w, r, &body); err != nil {
+		return generator.Request{}, err
+	}
+	model, ok := c.rules.Models[body.Model]
+	if !ok {
+		return generator.Request{}, &fieldError{"model", fmt.Sprintf("no model %q in the rules", body.Model), http.StatusBadRequest}
+	}
+	if body.MaxTokens == 0 {
+		body.MaxTokens = defaultOutput
+	}
+	if body.MaxTokens < 0 || body.MaxTokens > maxOutput {
+		return generator.Request{}, &fieldError{"max_tokens", fmt.Sprintf("must be from 1 to %d", maxOutput), http.StatusBadRequest}
+	}
+	prompt := completer.Prompt(body.Messages)
+	tokens := completer.Tokens(prompt)
+	if tokens == 0 {
+		return generator.Request{}, &fieldError{"messages", "must hold text", http.StatusBadRequest}
+	}
+	return generator.Request{Model: model, Body: body, Prompt: prompt, Tokens: tokens}, nil
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return &fieldError{"body", fmt.Sprintf("longer than %d bytes", maxBody), http.StatusRequestEntityTooLarge}
+	}
+	if err != nil {
+		return &fieldError{"body", "unable to read: " + err.Error(), http.StatusBadRequest}
+	}
+	err = json.NewDecoder(bytes.NewReader(data)).Decode(v)
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return &fieldError{kind.Field, fmt.Sprintf("must be %s, not %s, at byte %d", kind.Type, kind.Value, kind.Offset), http.StatusBadRequest}
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return &fieldError{"body", fmt.Sprintf("not JSON at byte %d: %s", syntax.Offset, syntax), http.StatusBadRequest}
+	}
+	if err != nil {
+		return &fieldError{"body", "not JSON: " + err.Error(), http.StatusBadRequest}
+	}
+	return nil
+}
+
+// output writes an answer, token after token if the caller streams. Until the first token nothing is written.
+type output struct {
+	w       http.ResponseWriter
+	id      string
+	request generator.Request
+	stream  bool
+	tokens  int
+	text    strings.Builder
+	first   time.Time
+}
+
+func newOutput(w http.ResponseWriter, id string, req generator.Request) *output {
+	return &output{w: w, id: id, request: req, stream: req.Body.Stream}
+}
+
+func (o *output) token(content string) error {
+	if o.tokens == 0 {
+		o.first = time.Now()
+	}
+	o.tokens++
+	if !o.stream {
+		o.text.WriteString(content)
+		return nil
+	}
+	if o.tokens == 1 {
+		o.w.Header().Set("Content-Type", "text/event-stream")
+		o.w.Header().Set("Cache-Control", "no-store")
+	}
+	return o.event("", completer.Chunk{
+		ID: o.id, Position: o.tokens - 1,
+		Choices: []completer.Choice{{Delta: completer.Delta{Content: content}}},
+	})
+}
+
+func (o *output) event(name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if name != "" {
+		name = "event: " + name + "\n"
+	}
+	if _, err := fmt.Fprintf(o.w, "%sdata: %s\n\n", name, data); err != nil {
+		return err
+	}
+	return http.NewResponseController(o.w).Flush()
+}
+
+// end closes the answer. A stream that failed gets an error event, no end marker, and a broken connection, so that it
+// cannot be taken for whole.
+func (o *output) end(err error) {
+	if err != nil {
+		o.endFailed(err)
+		return
+	}
+	if o.stream {
+		_ = o.event("", completer.Chunk{ID: o.id, Position: o.tokens, Choices: []completer.Choice{{FinishReason: "stop"}}})
+		_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
+		return
+	}
+	httpx.OkJson(o.w, Completion{
+		ID: o.id, Object: "chat.completion", Model: o.request.Model.Name,
+		Choices: []CompletionChoice{{Message: completer.Message{Role: "assistant", Content: o.text.String()}, FinishReason: "stop"}},
+		Usage:   completer.Usage{PromptTokens: o.request.Tokens},
+	})
+}
+
+func (o *output) endFailed(err error) {
+	status, f := describe(err)
+	if !o.stream || o.tokens == 0 {
+		fail(o.w, status, f)
+		return
+	}
+	f.RequestID = o.id
+	_ = o.event("error", FailureBody{Error: f})
+	panic(http.ErrAbortHandler)
+}
+
+func describe(err error) (int, Failure) {
+	var refused *generator.RefusedError
+	if errors.As(err, &refused) {
+		f := notRun(refused.Code, refused.Reason)
+		if refused.RetryAfter > 0 {
+			f = f.after(refused.RetryAfter)
+		}
+		return refused.Status, f
+	}
+	var failed *generator.FailedError
+	if errors.As(err, &failed) {
+		f := Failure{Code: "engines_failed", Message: failed.Error(), Outcome: executor.Unclear}
+		return http.StatusBadGateway, f.after(time.Second)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return http.StatusGatewayTimeout, Failure{Code: "deadline", Message: "given up after its latency target", Outcome: executor.Unclear}.after(time.Second)
+	}
+	return http.StatusConflict, Failure{Code: "superseded", Message: "a newer attempt has the same request ID", Outcome: executor.Unclear}
+}
