--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -186,15 +186,6 @@
 	return p.awaitListening(ctx)
 }
 
-func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, errorx.Decorate(err, "launcher: unable to find a free port")
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 func (p *Process) launch() error {
 	out, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -217,7 +208,10 @@
 }
 
 func (p *Process) awaitListening(ctx context.Context) error {
-	return Await(ctx, readyTimeout, func() bool {
+	err := Await(ctx, readyTimeout, func() bool {
+		if p.hasExited() {
+			return true
+		}
 		conn, err := net.DialTimeout("tcp", p.Address.String(), time.Second)
 		if err != nil {
 			return false
@@ -225,6 +219,28 @@
 		_ = conn.Close()
 		return true
 	})
+	if err == nil && p.hasExited() {
+		return &ExitError{Name: p.Name}
+	}
+	return err
+}
+
+func (p *Process) hasExited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// ExitError reports a process that ended while it was started.
+type ExitError struct {
+	Name string
+}
+
+func (e *ExitError) Error() string {
+	return "launcher: unable to start " + e.Name + ": it has exited, see its log"
 }
 
 // TimeoutError reports a condition that did not come true.
--- a/lab/loader/loader.go
+++ b/lab/loader/loader.go
@@ -186,9 +186,12 @@
 	}
 }
 
-// engineCounts returns the counts of every engine that answers, by its incarnation.
+// engineCounts returns the counts of every engine that answers, by its incarnation, or none without a host list.
 func engineCounts(ctx context.Context, hosts *finder.Client) map[string]inferrer.Counts {
 	counts := make(map[string]inferrer.Counts)
+	if hosts == nil {
+		return counts
+	}
 	listing, err := hosts.Get(ctx)
 	if err != nil {
 		return counts
--- /dev/null
+++ b/scenarios/driver_test.go
@@ -0,0 +1,446 @@
+package scenarios
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/demonstrator"
+	"github.com/hornbeamspan/hornbeamspan/lab/inferrer"
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+)
+
+type driverKey struct{}
+
+// driver holds the system of one script.
+type driver struct {
+	ctx    context.Context
+	dir    string
+	system *launcher.System
+	// targets are those of the published rules.
+	targets launcher.Targets
+	mu      sync.Mutex
+	jobs    map[string]chan string
+}
+
+func (d *driver) stop() {
+	if d.system != nil {
+		d.system.Stop()
+	}
+}
+
+// options are the key=value words of a command.
+type options map[string]string
+
+func parse(words []string) options {
+	o := make(options)
+	for _, w := range words {
+		key, value, _ := strings.Cut(w, "=")
+		o[key] = value
+	}
+	return o
+}
+
+func (o options) number(key string, fallback int) int {
+	n, err := strconv.Atoi(o[key])
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+// command prints one line or more that the script matches with stdout.
+type command func(d *driver, words []string) (string, error)
+
+var all map[string]command
+
+func init() {
+	all = map[string]command{
+		"system":  (*driver).startSystem,
+		"host":    (*driver).addHost,
+		"signal":  (*driver).signal,
+		"exited":  (*driver).exited,
+		"restart": (*driver).restart,
+		"fault":   (*driver).fault,
+		"publish": (*driver).publish,
+		"summary": (*driver).summary,
+		"once":    (*driver).once,
+		"onces":   (*driver).onces,
+		"lookup":  (*driver).lookup,
+		"load":    (*driver).load,
+		"runs":    (*driver).runs,
+		"engine":  (*driver).engine,
+		"engines": (*driver).engines,
+		"status":  (*driver).status,
+		"get":     (*driver).get,
+		"await":   (*driver).await,
+		"bg":      (*driver).background,
+		"join":    (*driver).join,
+	}
+}
+
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	table := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, run := range all {
+		table[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			d := ts.Value(driverKey{}).(*driver)
+			out, err := run(d, args)
+			if err != nil && !neg {
+				ts.Fatalf("%s: %v", name, err)
+			}
+			if err == nil && neg {
+				ts.Fatalf("%s: succeeded", name)
+			}
+			fmt.Fprintln(ts.Stdout(), out)
+		}
+	}
+	return table
+}
+
+// startSystem starts a system and publishes its rules: system SIZES… FLAGS… start=DURATION finish=DURATION
+func (d *driver) startSystem(words []string) (string, error) {
+	d.targets = launcher.DefaultTargets
+	wanted := parse(words)
+	sizes := slices.DeleteFunc(words, func(w string) bool { return strings.HasPrefix(w, "finish=") || strings.HasPrefix(w, "start=") })
+	s, err := spec(d.dir, sizes)
+	if err != nil {
+		return "", err
+	}
+	for key, target := range map[string]*time.Duration{"start": &d.targets.Start, "finish": &d.targets.Finish} {
+		if wanted[key] == "" {
+			continue
+		}
+		if *target, err = time.ParseDuration(wanted[key]); err != nil {
+			return "", err
+		}
+	}
+	if d.system, err = launcher.Start(d.ctx, s); err != nil {
+		return "", err
+	}
+	v, err := demonstrator.Publish(d.ctx, d.system.Hosts[0], "first", 0, launcher.Rules(d.targets))
+	if err != nil || v.Verdict != overseer.Accepted {
+		return "", fmt.Errorf("first rules: %+v, %w", v, err)
+	}
+	return "ready", d.system.AwaitReady(d.ctx)
+}
+
+// addHost starts one more host: host NAME --flag…
+func (d *driver) addHost(words []string) (string, error) {
+	_, err := d.system.AddHost(d.ctx, words[0], words[1:])
+	return "started", err
+}
+
+var signals = map[string]syscall.Signal{
+	"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "term": syscall.SIGTERM,
+}
+
+// find returns a process by its name, or for @decoding the decode engine that runs something.
+func (d *driver) find(name string) *launcher.Process {
+	if name != "@decoding" {
+		return d.system.Find(name)
+	}
+	for _, p := range d.system.Engines {
+		s, err := loader.EngineState(d.ctx, p.Address)
+		if err == nil && s.Load.Role == inferrer.RoleDecode && s.Load.Running > 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// signal sends kill, freeze, thaw or term: signal kill NAME
+func (d *driver) signal(words []string) (string, error) {
+	p := d.find(words[1])
+	if p == nil {
+		return "", fmt.Errorf("no process %s", words[1])
+	}
+	return "sent", p.Signal(signals[words[0]])
+}
+
+// exited waits for the end of a process: exited NAME LIMIT
+func (d *driver) exited(words []string) (string, error) {
+	limit, err := time.ParseDuration(words[1])
+	if err != nil {
+		return "", err
+	}
+	select {
+	case <-d.system.Find(words[0]).Exited():
+		return "exited", nil
+	case <-time.After(limit):
+		return "", fmt.Errorf("%s still runs after %s", words[0], limit)
+	}
+}
+
+func (d *driver) restart(words []string) (string, error) {
+	return "restarted", d.system.Find(words[0]).Restart(d.ctx)
+}
+
+// fault sets the switches of a stand-in: fault log {"outage":true}
+func (d *driver) fault(words []string) (string, error) {
+	path := "/v1/faults"
+	if strings.HasPrefix(words[0], "desk") {
+		path = "/lab/faults"
+	}
+	r, err := http.NewRequestWithContext(d.ctx, http.MethodPut, fmt.Sprintf("http://%s%s", d.system.Find(words[0]).Address, path), strings.NewReader(words[1]))
+	if err != nil {
+		return "", err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("status %s", resp.Status)
+	}
+	return "set", nil
+}
+
+// publish publishes the lab's rules with one more line: publish HOST ID BASE LINE…
+func (d *driver) publish(words []string) (string, error) {
+	base, err := strconv.ParseUint(words[2], 10, 64)
+	if err != nil {
+		return "", err
+	}
+	text := launcher.Rules(d.targets) + strings.Join(words[3:], " ") + "\n"
+	v, err := demonstrator.Publish(d.ctx, d.system.Find(words[0]), words[1], base, text)
+	return fmt.Sprintf("%s version=%d hosts=%d behind=%d %s", v.Verdict, v.Version, len(v.InForce), len(v.Behind), v.Reason), err
+}
+
+func (d *driver) caller(o options) (*loader.Caller, netip.AddrPort) {
+	host := d.system.Hosts[0]
+	if name := o["host"]; name != "" {
+		host = d.system.Find(name)
+	}
+	return loader.NewCaller([]netip.AddrPort{host.Address}, launcher.Token, "writer", "desk"), host.Address
+}
+
+// summary asks for a generated answer: summary host=NAME id=ID words=N tokens=N text=WORD cancel
+func (d *driver) summary(words []string) (string, error) {
+	o := parse(words)
+	c, at := d.caller(o)
+	prompt := strings.TrimSpace(strings.Repeat(o["text"]+"word ", o.number("words", 100)))
+	tokens := o.number("tokens", 20)
+	_, cancel := o["cancel"]
+	r := c.Complete(d.ctx, at, o["id"], prompt, tokens, cancel)
+	if r.Err != nil {
+		return "err=" + r.Err.Error(), nil
+	}
+	return fmt.Sprintf("status=%d code=%s outcome=%s whole=%t right=%t in=%dms", r.Status, r.Code, r.Outcome, r.Whole,
+		r.Text == inferrer.Answer(prompt+"\n", tokens), r.Finish.Milliseconds()), nil
+}
+
+// once sends a ticket: once host=NAME key=KEY body=TEXT
+func (d *driver) once(words []string) (string, error) {
+	o := parse(words)
+	c, at := d.caller(o)
+	r := c.Call(d.ctx, at, http.MethodPost, c.Path, o["key"], []byte(o["body"]+"body"))
+	if r.Err != nil {
+		return "err=" + r.Err.Error(), nil
+	}
+	return fmt.Sprintf("status=%d code=%s outcome=%s in=%dms %s", r.Status, r.Code, r.Outcome, r.Finish.Milliseconds(), r.Body), nil
+}
+
+// onces sends many tickets, each to every host at once, and counts answers: onces from=N to=M
+func (d *driver) onces(words []string) (string, error) {
+	o := parse(words)
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := make(map[string]int)
+	for n := o.number("from", 0); n < o.number("to", 10); n++ {
+		for _, h := range d.system.Hosts {
+			wait.Go(func() {
+				c := loader.NewCaller([]netip.AddrPort{h.Address}, launcher.Token, "writer", "desk")
+				r := c.Call(d.ctx, h.Address, http.MethodPost, c.Path, fmt.Sprintf("many-%d", n), []byte("same"))
+				outcome := r.Outcome
+				if r.Err != nil {
+					outcome = "broken"
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[outcome]++
+			})
+		}
+		time.Sleep(time.Duration(o.number("pause", 5)) * time.Millisecond)
+	}
+	wait.Wait()
+	return fmt.Sprintf("done=%d not_run=%d unknown=%d broken=%d", outcomes["done"], outcomes["not_run"], outcomes["unknown"], outcomes["broken"]), nil
+}
+
+func (d *driver) lookup(words []string) (string, error) {
+	o := parse(words)
+	c, at := d.caller(o)
+	r := c.Call(d.ctx, at, http.MethodGet, c.LookupPath+"/1", "", nil)
+	if r.Err != nil {
+		return "err=" + r.Err.Error(), nil
+	}
+	return fmt.Sprintf("status=%d code=%s outcome=%s in=%dms", r.Status, r.Code, r.Outcome, r.Finish.Milliseconds()), nil
+}
+
+// load sends an open load to the addresses that hosts tell: load seconds=N summaries=R lookups=R onces=R
+func (d *driver) load(words []string) (string, error) {
+	o := parse(words)
+	var seeds []netip.AddrPort
+	for _, h := range d.system.Hosts {
+		seeds = append(seeds, h.Address)
+	}
+	shape := loader.Shape{
+		Seed: uint64(o.number("seed", 1)), Duration: time.Duration(o.number("seconds", 5)) * time.Second,
+		Summaries: float64(o.number("summaries", 5)), Lookups: float64(o.number("lookups", 20)), Onces: float64(o.number("onces", 5)),
+		Prompt: 200, Output: o.number("tokens", 40),
+	}
+	t := d.targets
+	c := loader.NewCaller(seeds, launcher.Token, "writer", "desk")
+	r := loader.Run(d.ctx, c, shape, loader.Targets{Start: t.Start, Finish: t.Finish, Lookup: t.Lookup}, nil, &bytes.Buffer{})
+	var b strings.Builder
+	for _, class := range loader.Classes {
+		n := r.Classes[class]
+		fmt.Fprintf(&b, "%s sent=%d whole=%d refused=%d failed=%d wrong=%d\n", class, n.Sent, n.Served+n.Late, n.Refused, n.Failed, n.Wrong)
+	}
+	return b.String(), nil
+}
+
+// runs prints how often a key ran, or how many keys ran and the most runs of one.
+func (d *driver) runs(words []string) (string, error) {
+	runs, err := demonstrator.Runs(d.ctx, d.system)
+	if err != nil {
+		return "", err
+	}
+	if len(words) > 0 {
+		return fmt.Sprintf("runs=%d", runs[words[0]]), nil
+	}
+	most := 0
+	for _, n := range runs {
+		most = max(most, n)
+	}
+	return fmt.Sprintf("keys=%d most=%d", len(runs), most), nil
+}
+
+func (d *driver) engine(words []string) (string, error) {
+	p := d.find(words[0])
+	if p == nil {
+		return "", fmt.Errorf("no process %s", words[0])
+	}
+	s, err := loader.EngineState(d.ctx, p.Address)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("running=%d waiting=%d held=%d flights=%d cancelled=%d completed=%d decoded=%d",
+		s.Load.Running, s.Load.Waiting, s.Load.Held, len(s.Flights), s.Counts.Cancelled, s.Counts.Completed, s.Counts.Decoded), nil
+}
+
+// engines adds up over all engines that answer.
+func (d *driver) engines([]string) (string, error) {
+	held, flights, alive, completed := 0, 0, 0, 0
+	for _, p := range d.system.Engines {
+		s, err := loader.EngineState(d.ctx, p.Address)
+		if err != nil {
+			continue
+		}
+		alive++
+		held += s.Load.Held
+		flights += len(s.Flights)
+		completed += s.Counts.Completed
+	}
+	return fmt.Sprintf("alive=%d held=%d flights=%d completed=%d", alive, held, flights, completed), nil
+}
+
+func (d *driver) status(words []string) (string, error) {
+	s, err := d.system.Find(words[0]).Status(d.ctx)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "rules=%d state=%s inflight=%d\n", s.Rules, s.State, s.InFlight)
+	for _, h := range s.Hosts {
+		fmt.Fprintf(&b, "host %s %s\n", h.Name, h.State)
+	}
+	for _, e := range s.Endpoints {
+		fmt.Fprintf(&b, "endpoint %s leaving=%t\n", e.Name, e.Leaving)
+	}
+	return b.String(), nil
+}
+
+// get prints the status and body of a request without a key: get HOST callers|operators|peers METHOD PATH TOKEN BODY
+func (d *driver) get(words []string) (string, error) {
+	p := d.system.Find(words[0])
+	address := map[string]netip.AddrPort{"callers": p.Address, "operators": p.Operators, "peers": p.Peers}[words[1]]
+	body := ""
+	if len(words) > 5 {
+		body = words[5]
+	}
+	r, err := http.NewRequestWithContext(d.ctx, words[2], fmt.Sprintf("http://%s%s", address, words[3]), strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+words[4])
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "err=" + err.Error(), nil
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, _ = b.ReadFrom(resp.Body)
+	return fmt.Sprintf("status=%d retry=%s %s", resp.StatusCode, resp.Header.Get("Retry-After"), b.String()), nil
+}
+
+// await repeats a command until what it prints matches: await LIMIT PATTERN COMMAND…
+func (d *driver) await(words []string) (string, error) {
+	limit, err := time.ParseDuration(words[0])
+	if err != nil {
+		return "", err
+	}
+	pattern, err := regexp.Compile("(?m)" + words[1])
+	if err != nil {
+		return "", err
+	}
+	var out string
+	err = launcher.Await(d.ctx, limit, func() bool {
+		var failed error
+		out, failed = all[words[2]](d, words[3:])
+		return failed == nil && pattern.MatchString(out)
+	})
+	if err != nil {
+		return out, fmt.Errorf("%w; last seen: %s", err, out)
+	}
+	return out, nil
+}
+
+// background runs a command beside the script: bg JOB COMMAND…
+func (d *driver) background(words []string) (string, error) {
+	done := make(chan string, 1)
+	d.mu.Lock()
+	d.jobs[words[0]] = done
+	d.mu.Unlock()
+	go func() {
+		out, err := all[words[1]](d, words[2:])
+		if err != nil {
+			out += " err=" + err.Error()
+		}
+		done <- out
+	}()
+	return "running", nil
+}
+
+// join waits for a background command and prints what it printed.
+func (d *driver) join(words []string) (string, error) {
+	select {
+	case out := <-d.jobs[words[0]]:
+		return out, nil
+	case <-time.After(time.Minute):
+		return "", fmt.Errorf("job %s still runs", words[0])
+	}
+}
--- /dev/null
+++ b/scenarios/scenarios_test.go
@@ -0,0 +1,104 @@
+// Package scenarios runs scripted failures on the real processes of a system.
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+)
+
+// bin is the folder of the programs under test.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "hornbeamspan")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return 1
+	}
+	return m.Run()
+}
+
+// knownRed returns the scenarios that KNOWN-RED.txt lists: lines that start with "scenario NAME ".
+func knownRed(t *testing.T) map[string]bool {
+	red := make(map[string]bool)
+	data, err := os.ReadFile("../KNOWN-RED.txt")
+	if os.IsNotExist(err) {
+		return red
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if words := strings.Fields(line); len(words) > 1 && words[0] == "scenario" {
+			red[words[1]] = true
+		}
+	}
+	return red
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	red := knownRed(t)
+	var green []string
+	for _, f := range files {
+		if red[strings.TrimSuffix(f, ".txtar")] && os.Getenv("RUN_KNOWN_RED") == "" {
+			t.Logf("known red, passed over: %s", f)
+			continue
+		}
+		green = append(green, f)
+	}
+	testscript.Run(t, testscript.Params{
+		Files: green,
+		Setup: func(env *testscript.Env) error {
+			d := &driver{ctx: context.Background(), dir: env.WorkDir, jobs: make(map[string]chan string)}
+			env.Values[driverKey{}] = d
+			env.Defer(d.stop)
+			return nil
+		},
+		Cmds: commands(),
+	})
+}
+
+// spec reads the words of a system command: hosts=3 prefill=1 decode=1 services=1 zones=2 KIND:--flag=value.
+func spec(dir string, words []string) (launcher.Spec, error) {
+	s := launcher.Spec{Bin: bin, Dir: filepath.Join(dir, "logs"), Hosts: 1, Prefill: 1, Decode: 1, Services: 1, Zones: 2, Args: make(map[string][]string)}
+	sizes := map[string]*int{"hosts": &s.Hosts, "prefill": &s.Prefill, "decode": &s.Decode, "services": &s.Services, "zones": &s.Zones}
+	for _, w := range words {
+		if kind, flag, ok := strings.Cut(w, ":--"); ok {
+			s.Args[kind] = append(s.Args[kind], "--"+flag)
+			continue
+		}
+		name, value, _ := strings.Cut(w, "=")
+		size, ok := sizes[name]
+		if !ok {
+			return s, fmt.Errorf("unknown word %q", w)
+		}
+		if _, err := fmt.Sscan(value, size); err != nil {
+			return s, fmt.Errorf("%s: %w", w, err)
+		}
+	}
+	return s, nil
+}
--- a/transport/follower/follower.go
+++ b/transport/follower/follower.go
@@ -93,7 +93,7 @@
 func (f *Follower[P]) read(ctx context.Context) error {
 	f.mu.Lock()
 	from, wait := f.replayer.Next(), logger.ReadWait
-	if !f.caughtUp {
+	if !f.caughtUp || f.failing {
 		wait = 0
 	}
 	f.mu.Unlock()
--- a/transport/releaser/releaser.go
+++ b/transport/releaser/releaser.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -61,7 +63,7 @@
 	pause := firstPause
 	for {
 		err := r.cancel(e, id, attempt)
-		if err == nil {
+		if err == nil || isGone(err) {
 			return
 		}
 		if time.Since(begin) > giveUp {
@@ -74,6 +76,9 @@
 	}
 }
 
+// isGone tells whether nothing listens at the engine's address: its process has ended, with all that it held.
+func isGone(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 func (r *Releaser) cancel(e watcher.Endpoint, id string, attempt uint64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
