--- /dev/null
+++ b/parts/coordination/balancer/balancer_test.go
@@ -0,0 +1,32 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func identity(x float64) float64 { return x }
+
+func TestTwoChoicesNeverTakesTheMostCostly(t *testing.T) {
+	p := &TwoChoices[float64]{Source: source(), Cost: identity}
+	for range 1000 {
+		assert.NotEqual(t, 2, p.Pick([]float64{1, 2, 3}))
+	}
+}
+
+func TestRoundRobinTakesEachInTurn(t *testing.T) {
+	p := &RoundRobin[string]{}
+	assert.Equal(t, []int{0, 1, 0}, []int{p.Pick([]string{"a", "b"}), p.Pick([]string{"a", "b"}), p.Pick([]string{"a", "b"})})
+}
+
+func TestAffineKeepsThePreferredUnlessAnotherIsCheaper(t *testing.T) {
+	p := &Affine[float64]{
+		Preferred: func(x float64) bool { return x == 5 }, Cost: identity, Fallback: &Random[float64]{Source: source()},
+	}
+	assert.Equal(t, 1, p.Pick([]float64{6, 5}))
+	assert.Equal(t, 0, p.Pick([]float64{1, 1, 1}[:1]))
+}
--- /dev/null
+++ b/parts/coordination/booker/booker_test.go
@@ -0,0 +1,98 @@
+package booker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func request(id string) Request {
+	return Request{ID: id, Blocks: 1, Arrival: epoch, Until: epoch.Add(time.Minute)}
+}
+
+func full(slots int) *Book {
+	b := New(time.Second)
+	b.Report(Report{Slots: slots, Capacity: 1000, Incarnation: "a"})
+	for i := range slots {
+		b.Take(epoch, request(fmt.Sprint(i)))
+	}
+	return b
+}
+
+func TestNoMoreSlotsAreBookedThanTheEngineHas(t *testing.T) {
+	b := full(20)
+	assert.False(t, b.Take(epoch, request("more")))
+	b.Drop("3")
+	assert.True(t, b.Take(epoch, request("more")))
+}
+
+func TestDeparturesUntilTheArrivalMakeRoom(t *testing.T) {
+	b := full(20)
+	later := request("later")
+	later.Arrival = epoch.Add(100 * time.Millisecond)
+	assert.True(t, b.Take(epoch, later))
+}
+
+func TestTheSameRequestIsBookedOnce(t *testing.T) {
+	b := full(2)
+	assert.True(t, b.Take(epoch, request("1")))
+	assert.Equal(t, 2, b.Used())
+}
+
+func TestBookingsLapse(t *testing.T) {
+	b := full(2)
+	assert.True(t, b.Take(epoch.Add(2*time.Minute), Request{ID: "new", Until: epoch.Add(3 * time.Minute), Arrival: epoch.Add(2 * time.Minute)}))
+	assert.Equal(t, 1, b.Used())
+}
+
+func TestANewOwnerCountsWhatTheEngineReports(t *testing.T) {
+	b := New(time.Second)
+	b.Report(Report{Running: 20, Slots: 20, Capacity: 1000})
+	assert.False(t, b.Take(epoch, request("1")))
+}
+
+func TestARestartedEngineHoldsNothing(t *testing.T) {
+	b := full(20)
+	b.Report(Report{Slots: 20, Capacity: 1000, Incarnation: "b"})
+	assert.Zero(t, b.Used())
+}
+
+func TestMemoryLimitsToo(t *testing.T) {
+	b := New(time.Second)
+	b.Report(Report{Slots: 20, Capacity: 10})
+	large := request("large")
+	large.Blocks = 11
+	assert.False(t, b.Take(epoch, large))
+}
+
+func TestAnEngineRunsOneSuspectAtATime(t *testing.T) {
+	b := full(2)
+	b.Drop("0")
+	b.Drop("1")
+	first, second := request("first"), request("second")
+	first.Suspect, second.Suspect = true, true
+	assert.True(t, b.Take(epoch, first))
+	assert.False(t, b.Take(epoch, second))
+	b.Drop("first")
+	assert.True(t, b.Take(epoch, second))
+}
+
+func BenchmarkTakeAndDrop(b *testing.B) {
+	for _, slots := range []int{20, 100, 500, 2_500} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			book := full(slots)
+			book.Drop("0")
+			r := request("bench")
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				book.Take(epoch, r)
+				book.Drop(r.ID)
+			}
+		})
+	}
+}
--- a/parts/coordination/claimer/ledger.go
+++ b/parts/coordination/claimer/ledger.go
@@ -89,10 +89,12 @@
 	now      time.Time
 	keys     map[Digest]Holding
 	released map[ID]time.Time
-	expiry   []expiry
-	watched  map[ID]*Outcome
-	partial  partial
-	covered  uint64
+	// expiry lists keys and releases by age; the first expired ones are dropped already.
+	expiry  []expiry
+	expired int
+	watched map[ID]*Outcome
+	partial partial
+	covered uint64
 }
 
 type expiry struct {
@@ -116,6 +118,7 @@
 	l.keys = make(map[Digest]Holding)
 	l.released = make(map[ID]time.Time)
 	l.expiry = nil
+	l.expired = 0
 	l.partial = partial{}
 	l.covered = 0
 }
@@ -226,13 +229,13 @@
 
 func (l *Ledger) expire() {
 	cut := l.now.Add(-l.horizon)
-	n := 0
-	for n < len(l.expiry) && l.expiry[n].at.Before(cut) {
-		l.drop(l.expiry[n])
-		n++
+	for l.expired < len(l.expiry) && l.expiry[l.expired].at.Before(cut) {
+		l.drop(l.expiry[l.expired])
+		l.expired++
 	}
-	if n > 0 {
-		l.expiry = append([]expiry(nil), l.expiry[n:]...)
+	if l.expired > len(l.expiry)/2 {
+		l.expiry = append([]expiry(nil), l.expiry[l.expired:]...)
+		l.expired = 0
 	}
 }
 
--- /dev/null
+++ b/parts/coordination/publisher/judge_test.go
@@ -0,0 +1,161 @@
+package publisher
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/replayer"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// A fixed seed gives the same verdict every time.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func validators() map[int]Validator {
+	return map[int]Validator{1: func(text string) error {
+		if strings.Contains(text, "bad") {
+			return errors.New("bad line")
+		}
+		return nil
+	}}
+}
+
+func publication(id string, base uint64, from, to string) Publication {
+	return Publication{ID: id, Base: base, Author: "ada", Change: Diff(from, to), Sum: SumOf(to), Validator: 1}
+}
+
+func feed(p *replayer.Replayer[Payload], payload Payload) {
+	p.Feed(replayer.Record[Payload]{Offset: p.Next(), At: epoch.Add(time.Duration(p.Next()) * time.Second), Payload: payload})
+}
+
+func publish(p *replayer.Replayer[Payload], publication Publication) {
+	feed(p, Payload{Publication: &publication})
+}
+
+func TestOfTwoRacingPublicationsTheSecondIsToldWhoWon(t *testing.T) {
+	j := NewJudge(validators())
+	p := replayer.New[Payload](j)
+	publish(p, publication("first", 0, "", "a\n"))
+	publish(p, publication("second", 0, "", "b\n"))
+	d, _ := j.Decision("second")
+	assert.False(t, d.Accepted)
+	assert.Equal(t, "conflict: base is version 0, but version 1 by ada is in force", d.Reason)
+	assert.Equal(t, "a\n", j.File().Text)
+}
+
+func TestAPublicationThatStandsTwiceHasOneVerdict(t *testing.T) {
+	j := NewJudge(validators())
+	p := replayer.New[Payload](j)
+	publish(p, publication("same", 0, "", "a\n"))
+	publish(p, publication("same", 0, "", "a\n"))
+	d, _ := j.Decision("same")
+	assert.True(t, d.Accepted)
+	assert.Equal(t, uint64(1), j.File().Version)
+}
+
+func TestInvalidAndDamagedPublicationsChangeNothing(t *testing.T) {
+	j := NewJudge(validators())
+	p := replayer.New[Payload](j)
+	publish(p, publication("invalid", 0, "", "bad\n"))
+	damaged := publication("damaged", 0, "", "a\n")
+	damaged.Sum = Sum{}
+	publish(p, damaged)
+	assert.Zero(t, j.File().Version)
+}
+
+func TestAnUnknownValidatorStopsTheJudgeInsteadOfSplittingHosts(t *testing.T) {
+	j := NewJudge(validators())
+	p := replayer.New[Payload](j)
+	newer := publication("newer", 0, "", "a\n")
+	newer.Validator = 2
+	publish(p, newer)
+	publish(p, publication("older", 0, "", "b\n"))
+	var unknown *ValidatorError
+	assert.ErrorAs(t, j.Err(), &unknown)
+	assert.Zero(t, j.File().Version)
+}
+
+func TestDeltaTurnsAnyTextIntoAnyOther(t *testing.T) {
+	lines := rapid.SliceOfN(rapid.SampledFrom([]string{"a\n", "b\n", "c\n", "d"}), 0, 8)
+	rapid.Check(t, func(t *rapid.T) {
+		from := strings.Join(lines.Draw(t, "from"), "")
+		to := strings.Join(lines.Draw(t, "to"), "")
+		got, ok := Diff(from, to).Apply(from)
+		assert.True(t, ok)
+		assert.Equal(t, to, got)
+	})
+}
+
+// TestReadersAgreeOnEveryVersion follows spec/rules.pml: readers from any checkpoint agree, and versions only rise.
+func TestReadersAgreeOnEveryVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		writer := NewJudge(validators())
+		full := replayer.New[Payload](writer)
+		var stream []replayer.Record[Payload]
+		contents := make(map[uint64]string)
+		for i := range rapid.IntRange(1, 30).Draw(t, "records") {
+			payload := drawPayload(t, i, writer, full.Next())
+			r := replayer.Record[Payload]{Offset: full.Next(), At: epoch.Add(time.Duration(i) * time.Second), Payload: payload}
+			before := writer.File().Version
+			stream = append(stream, r)
+			full.Feed(r)
+			assert.GreaterOrEqual(t, writer.File().Version, before)
+			contents[writer.File().Version] = writer.File().Text
+		}
+		late := NewJudge(validators())
+		p := replayer.New[Payload](late)
+		from := rapid.IntRange(0, len(stream)).Draw(t, "oldest")
+		p.Restart(uint64(from))
+		for _, r := range stream[from:] {
+			p.Feed(r)
+			if p.IsWhole() {
+				assert.Equal(t, contents[late.File().Version], late.File().Text)
+			}
+		}
+		if p.IsWhole() {
+			assert.Equal(t, writer.File(), late.File())
+		}
+	})
+}
+
+func drawPayload(t *rapid.T, i int, writer *Judge, next uint64) Payload {
+	if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+		c := writer.Checkpoint(next)
+		return Payload{Checkpoint: &c}
+	}
+	f := writer.File()
+	base := f.Version
+	if rapid.Bool().Draw(t, "stale") && base > 0 {
+		base--
+	}
+	p := publication(fmt.Sprint("p", rapid.IntRange(0, i).Draw(t, "id")), base, f.Text, f.Text+fmt.Sprintf("line %d\n", i))
+	return Payload{Publication: &p}
+}
+
+func BenchmarkJudge(b *testing.B) {
+	for _, lines := range []int{100, 1_000, 2_500, 5_000} {
+		b.Run(fmt.Sprintf("lines=%d", lines), func(b *testing.B) {
+			j := NewJudge(map[int]Validator{1: func(string) error { return nil }})
+			text := strings.Repeat("organisation x token=0 # ada: forty-eight characters a line\n", lines)
+			j.file = File{Version: 1, Text: text}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				change := fmt.Sprintf("change %d\n", i)
+				p := Publication{ID: change, Base: j.file.Version, Change: Delta{Head: lines - 1, Lines: []string{change}}, Validator: 1}
+				next, _ := p.Change.Apply(j.file.Text)
+				p.Sum = SumOf(next)
+				j.decisions = nil
+				j.publish(p, epoch)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/parts/coordination/tracker/tracker_test.go
@@ -0,0 +1,155 @@
+package tracker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+var testConfig = Config{
+	Period: time.Second, AnswerTimeout: 800 * time.Millisecond, SuspicionTimeout: 3 * time.Second, Retention: time.Minute, Updates: 6,
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+}
+
+// group delivers messages between trackers at once, but for the hosts that are silent.
+type group struct {
+	trackers map[netip.AddrPort]*Tracker
+	silent   map[netip.AddrPort]bool
+	messages int
+	now      time.Time
+}
+
+func newGroup(n int) *group {
+	g := &group{trackers: make(map[netip.AddrPort]*Tracker), silent: make(map[netip.AddrPort]bool), now: epoch}
+	for i := range n {
+		self := Member{Name: fmt.Sprintf("host-%03d", i), Address: address(i), Incarnation: 1}
+		g.trackers[address(i)] = New(testConfig, self, []netip.AddrPort{address(0)}, rand.New(rand.NewPCG(1, uint64(i))))
+	}
+	return g
+}
+
+func (g *group) at(i int) *Tracker { return g.trackers[address(i)] }
+
+func (g *group) deliver(sends []Send) {
+	for _, s := range sends {
+		g.messages++
+		if !g.silent[s.To] && !g.silent[s.Message.From.Address] {
+			g.deliver(g.trackers[s.To].Receive(g.now, s.Message))
+		}
+	}
+}
+
+func (g *group) period() {
+	g.now = g.now.Add(time.Second)
+	for i := range len(g.trackers) {
+		if !g.silent[address(i)] {
+			g.deliver(g.at(i).Tick(g.now))
+		}
+	}
+}
+
+func (g *group) periods(n int) {
+	for range n {
+		g.period()
+	}
+}
+
+func (g *group) state(of, seenBy int) State {
+	for _, m := range g.at(seenBy).Members() {
+		if m.Address == address(of) {
+			return m.State
+		}
+	}
+	return Dead
+}
+
+func TestHostsFindEachOtherThroughOneSeed(t *testing.T) {
+	g := newGroup(20)
+	g.periods(30)
+	for i := range 20 {
+		assert.Len(t, g.at(i).Members(), 19)
+	}
+}
+
+func TestSilentHostIsSuspectedThenDeadAndComesBack(t *testing.T) {
+	g := newGroup(12)
+	g.periods(20)
+	g.silent[address(5)] = true
+	g.periods(25)
+	for i := range 12 {
+		if i != 5 {
+			assert.Equal(t, Dead, g.state(5, i))
+		}
+	}
+	g.silent[address(5)] = false
+	g.periods(25)
+	for i := range 12 {
+		if i != 5 {
+			assert.Equal(t, Alive, g.state(5, i))
+		}
+	}
+}
+
+func TestLeavingWinsOverALaggingLive(t *testing.T) {
+	g := newGroup(6)
+	g.periods(10)
+	alive := g.at(2).Self()
+	g.at(2).Leave()
+	g.periods(10)
+	g.deliver(g.at(1).Receive(g.now, Message{Answer: true, From: g.at(3).Self(), Updates: []Member{alive}}))
+	assert.Equal(t, Leaving, g.state(2, 1))
+}
+
+func TestTwoHalvesOfASplitFindEachOtherAgain(t *testing.T) {
+	g := newGroup(8)
+	g.periods(15)
+	for i := 4; i < 8; i++ {
+		g.silent[address(i)] = true
+	}
+	g.periods(200)
+	clear(g.silent)
+	g.periods(40)
+	for i := range 8 {
+		for o := range 8 {
+			if o != i {
+				assert.Equal(t, Alive, g.state(o, i), "host %d seen by %d", o, i)
+			}
+		}
+	}
+}
+
+func TestTrafficOfAHostDoesNotGrowWithTheNumberOfHosts(t *testing.T) {
+	for _, n := range []int{12, 48, 190, 380} {
+		g := newGroup(n)
+		g.periods(40)
+		g.messages = 0
+		g.periods(20)
+		assert.LessOrEqual(t, float64(g.messages)/float64(n)/20, 2.1, "%d hosts", n)
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{12, 48, 190, 380} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			g := newGroup(n)
+			g.periods(40)
+			tracker := g.at(0)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				g.now = g.now.Add(time.Millisecond)
+				tracker.Tick(g.now)
+				clear(tracker.waiting)
+			}
+		})
+	}
+}
