--- /dev/null
+++ b/lab/measurer/chart.go
@@ -0,0 +1,88 @@
+package measurer
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+
+	"github.com/joomcode/errorx"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	chartWidth  = 16 * vg.Centimeter
+	chartHeight = 10 * vg.Centimeter
+)
+
+// draw writes charts of goodput and of wasted prefill over the offered load, for each deployment.
+func draw(dir string, rows []Row) error {
+	var deployments []string
+	for _, r := range rows {
+		if !slices.Contains(deployments, r.Deployment) {
+			deployments = append(deployments, r.Deployment)
+		}
+	}
+	for _, d := range deployments {
+		goodput := func(r Row) float64 { return r.Goodput() }
+		waste := func(r Row) float64 { return 100 * r.Result.WastedShare }
+		if err := drawOne(dir, d, "goodput", "goodput", rows, goodput, true); err != nil {
+			return err
+		}
+		if err := drawOne(dir, d, "waste", "wasted prefill, %", rows, waste, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func drawOne(dir, deployment, name, label string, rows []Row, value func(Row) float64, oracle bool) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: %s", deployment, label)
+	p.X.Label.Text = "offered load, part of capacity"
+	p.Y.Label.Text = label
+	p.Y.Min = 0
+	p.Legend.Top = false
+	p.Legend.Left = true
+	var lines []any
+	for _, policy := range Policies {
+		if points := series(rows, deployment, policy, value); len(points) > 0 {
+			lines = append(lines, policy, points)
+		}
+	}
+	if oracle {
+		lines = append(lines, "all-knowing queue", series(rows, deployment, Policies[0], func(r Row) float64 { return r.Oracle }))
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return errorx.Decorate(err, "measurer: unable to draw %s", name)
+	}
+	path := filepath.Join(dir, deployment+"-"+name+".svg")
+	if err := p.Save(chartWidth, chartHeight, path); err != nil {
+		return errorx.Decorate(err, "measurer: unable to save %s", path)
+	}
+	return nil
+}
+
+// series returns the mean over seeds at each load, without runs with faults.
+func series(rows []Row, deployment, policy string, value func(Row) float64) plotter.XYs {
+	sums := make(map[float64][2]float64)
+	for _, r := range rows {
+		if r.Deployment == deployment && r.Policy == policy && r.Fault == "" {
+			s := sums[r.Load]
+			sums[r.Load] = [2]float64{s[0] + value(r), s[1] + 1}
+		}
+	}
+	var points plotter.XYs
+	for load, s := range sums {
+		points = append(points, plotter.XY{X: load, Y: s[0] / s[1]})
+	}
+	slices.SortFunc(points, func(a, b plotter.XY) int {
+		if a.X < b.X {
+			return -1
+		}
+		return 1
+	})
+	return points
+}
--- /dev/null
+++ b/lab/measurer/faults.go
@@ -0,0 +1,91 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+)
+
+// faultLoad is the part of the capacity that is offered while faults happen.
+const faultLoad = 0.8
+
+// fault is something that happens in the middle of a run.
+type fault struct {
+	name    string
+	change  func(*loader.Shape)
+	disturb func(ctx context.Context, s *system, middle time.Duration)
+}
+
+func unchanged(*loader.Shape) {}
+
+var faults = []fault{
+	{name: "none", change: unchanged},
+	{name: "decode killed", change: unchanged, disturb: func(_ context.Context, s *system, middle time.Duration) {
+		time.Sleep(middle)
+		_ = s.Find("decode-0").Signal(syscall.SIGKILL)
+	}},
+	{name: "host killed", change: unchanged, disturb: func(_ context.Context, s *system, middle time.Duration) {
+		time.Sleep(middle)
+		_ = s.Find("host-1").Signal(syscall.SIGKILL)
+	}},
+	{name: "host frozen", change: unchanged, disturb: func(_ context.Context, s *system, middle time.Duration) {
+		time.Sleep(middle / 2)
+		_ = s.Find("host-2").Signal(syscall.SIGSTOP)
+		time.Sleep(middle)
+		_ = s.Find("host-2").Signal(syscall.SIGCONT)
+	}},
+	{name: "log out", change: unchanged, disturb: func(ctx context.Context, s *system, middle time.Duration) {
+		time.Sleep(middle / 2)
+		s.setLog(ctx, `{"outage":true}`)
+		time.Sleep(middle)
+		s.setLog(ctx, `{"outage":false}`)
+	}},
+	{name: "10% leave", change: func(s *loader.Shape) { s.Cancel = 0.1 }},
+	{name: "poison", change: func(s *loader.Shape) { s.Poison = s.Duration }},
+}
+
+func (s *system) setLog(ctx context.Context, faults string) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/v1/faults", s.Log.Address), strings.NewReader(faults))
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// measureFaults runs each fault on a new system, for the own policy and for the best baseline.
+func measureFaults(ctx context.Context, o Options, d Deployment, w io.Writer) ([]Row, error) {
+	var rows []Row
+	for _, policy := range []string{"book", "choices"} {
+		for _, f := range faults {
+			row, err := measureFault(ctx, o, d, policy, f, w)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func measureFault(ctx context.Context, o Options, d Deployment, policy string, f fault, w io.Writer) (Row, error) {
+	s, err := start(ctx, o, d, policy)
+	if err != nil {
+		return Row{}, err
+	}
+	defer s.Stop()
+	shape := shape(d, o, faultLoad, o.Seeds[0])
+	f.change(&shape)
+	var disturb func(context.Context)
+	if f.disturb != nil {
+		disturb = func(ctx context.Context) { f.disturb(ctx, s, shape.Duration/2) }
+	}
+	return s.run(ctx, o, shape, faultLoad, f.name, disturb, w), nil
+}
--- /dev/null
+++ b/lab/measurer/idle.go
@@ -0,0 +1,114 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/demonstrator"
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+)
+
+const (
+	// settleTime lets a system that has just started come to rest.
+	settleTime = 5 * time.Second
+	// idleTime is how long the idle system is watched.
+	idleTime = 15 * time.Second
+	// calls is the number of lookups for the added latency.
+	calls = 1000
+)
+
+// Sizes are the numbers of hosts of which slopes are measured.
+var Sizes = []int{3, 6, 12, 24}
+
+// Idle measures what hosts use without load, for systems of several sizes, and the latency that a host adds.
+func Idle(ctx context.Context, o Options, w io.Writer) error {
+	fmt.Fprintln(w, "| hosts | processor of a core | largest memory | bytes/s between hosts | direct p99 | through a host p99 | added p99 |")
+	for _, n := range Sizes {
+		o.Hosts = n
+		if err := idle(ctx, o, w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func idle(ctx context.Context, o Options, w io.Writer) error {
+	s, err := start(ctx, o, Olfato, Policies[0])
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	time.Sleep(settleTime)
+	before := s.usage(ctx)
+	begin := time.Now()
+	time.Sleep(idleTime)
+	var row Row
+	row.take(before, s.usage(ctx), time.Since(begin))
+	direct, through := s.latency(ctx)
+	fmt.Fprintf(w, "| %d | %.2f%% | %.1f MB | %.0f | %s | %s | %s |\n", o.Hosts, 100*row.Processor, float64(row.Memory)/1e6, row.PeerBytes,
+		direct, through, through-direct)
+	return nil
+}
+
+// latency returns the 99th percentiles of lookups sent to a service directly and through a host, in turns.
+func (s *system) latency(ctx context.Context) (direct, through time.Duration) {
+	c := s.caller()
+	var directs, throughs []time.Duration
+	for range calls {
+		begin := time.Now()
+		if resp, err := http.Get(fmt.Sprintf("http://%s/lookups/1", s.Services[0].Address)); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			directs = append(directs, time.Since(begin))
+		}
+		if r := c.Call(ctx, s.Hosts[0].Address, http.MethodGet, c.LookupPath+"/1", "", nil); r.Err == nil {
+			throughs = append(throughs, r.Finish)
+		}
+	}
+	return percentile(directs), percentile(throughs)
+}
+
+func percentile(times []time.Duration) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)*99/100].Round(10 * time.Microsecond)
+}
+
+// Spread measures how long a publication takes to be in force on every host, for systems of several sizes.
+func Spread(ctx context.Context, o Options, w io.Writer) error {
+	fmt.Fprintln(w, "| hosts | publications | in force everywhere after, median | longest |")
+	for _, n := range Sizes {
+		o.Hosts = n
+		s, err := start(ctx, o, Olfato, Policies[0])
+		if err != nil {
+			return err
+		}
+		times := s.publications(ctx)
+		s.Stop()
+		fmt.Fprintf(w, "| %d | %d | %s | %s |\n", n, len(times), times[len(times)/2].Round(100*time.Microsecond), times[len(times)-1].Round(100*time.Microsecond))
+	}
+	return nil
+}
+
+// publications publishes changes through different hosts and returns the sorted times until all have them in force.
+func (s *system) publications(ctx context.Context) []time.Duration {
+	const changes = 30
+	var times []time.Duration
+	for i := range changes {
+		text := launcher.Rules(launcher.DefaultTargets) + fmt.Sprintf("pool change-%d kind=service # lab: change\n", i)
+		begin := time.Now()
+		v, err := demonstrator.Publish(ctx, s.Hosts[i%len(s.Hosts)], fmt.Sprintf("spread-%d", i), uint64(i+1), text)
+		if err == nil && len(v.InForce) == len(s.Hosts) {
+			times = append(times, time.Since(begin))
+		}
+	}
+	slices.Sort(times)
+	return append(times, make([]time.Duration, 1-min(1, len(times)))...)
+}
+
--- /dev/null
+++ b/lab/measurer/measurer.go
@@ -0,0 +1,252 @@
+// Package measurer compares policies under load and faults on launched systems, each against the same baselines,
+// traces and seeds.
+package measurer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/demonstrator"
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+)
+
+// crashWord makes a prompt end the engines that run it.
+const crashWord = "POISON"
+
+// Deployment is the size of one user's system.
+type Deployment struct {
+	Name     string
+	Zones    int
+	Fleet    loader.Fleet
+	Services int
+}
+
+// The users' deployments. Engines are shared out between the roles so that both have the same capacity.
+var (
+	Olfato = Deployment{Name: "olfato", Zones: 3, Services: 3, Fleet: fleet(4, 5)}
+	Adaeze = Deployment{Name: "adaeze", Zones: 4, Services: 4, Fleet: fleet(4, 5)}
+)
+
+func fleet(prefill, decode int) loader.Fleet {
+	return loader.Fleet{Prefill: prefill, Decode: decode, Slots: 20, Rate: 20000, LinkRate: 200000, Step: 10 * time.Millisecond}
+}
+
+// Policies lists the measured policies, the own one first.
+var Policies = []string{"book", "choices", "robin", "random"}
+
+// Options are the extent of a measurement.
+type Options struct {
+	Bin      string
+	Dir      string
+	Seconds  int
+	Seeds    []uint64
+	Loads    []float64
+	Policies []string
+	Hosts    int
+	Faults   bool
+}
+
+// Row is the result of one run.
+type Row struct {
+	Deployment string        `json:"deployment"`
+	Policy     string        `json:"policy"`
+	Load       float64       `json:"load"`
+	Seed       uint64        `json:"seed"`
+	Fault      string        `json:"fault,omitempty"`
+	Oracle     float64       `json:"oracle"`
+	Result     loader.Result `json:"result"`
+	// EnginesLost is the number of engine processes that ended during the run.
+	EnginesLost int `json:"engines_lost"`
+	// PeerBytes is the mean per host and second of what hosts sent each other, both ways.
+	PeerBytes float64 `json:"peer_bytes_per_s"`
+	// Processor is the mean share of a core per host, Memory the largest resident size of a host in bytes.
+	Processor float64 `json:"processor"`
+	Memory    int64   `json:"memory"`
+}
+
+// Goodput returns the goodput of summaries.
+func (r Row) Goodput() float64 { return r.Result.Classes[loader.Summary].Goodput }
+
+// system is a launched system under measurement.
+type system struct {
+	*launcher.System
+	deployment Deployment
+	policy     string
+	rules      uint64
+}
+
+func start(ctx context.Context, o Options, d Deployment, policy string) (*system, error) {
+	dir, err := os.MkdirTemp(o.Dir, d.Name+"-"+policy+"-")
+	if err != nil {
+		return nil, errorx.Decorate(err, "measurer: unable to make a folder for logs")
+	}
+	s, err := launcher.Start(ctx, launcher.Spec{
+		Bin: o.Bin, Dir: dir, Hosts: o.Hosts, Zones: d.Zones,
+		Prefill: d.Fleet.Prefill, Decode: d.Fleet.Decode, Services: d.Services,
+		Args: map[string][]string{
+			"host":   {"--policy", policy, "--log-level", "warn"},
+			"engine": {"--crash-word", crashWord},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	m := &system{System: s, deployment: d, policy: policy}
+	v, err := demonstrator.Publish(ctx, s.Hosts[0], "measure", 0, launcher.Rules(launcher.DefaultTargets))
+	if err == nil && v.Verdict != overseer.Accepted {
+		err = errorx.IllegalState.New("measurer: unable to publish the rules: %s", v.Reason)
+	}
+	if err == nil {
+		err = s.AwaitReady(ctx)
+	}
+	if err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return m, nil
+}
+
+func (s *system) caller() *loader.Caller {
+	var seeds []netip.AddrPort
+	for _, h := range s.Hosts {
+		seeds = append(seeds, h.Address)
+	}
+	return loader.NewCaller(seeds, launcher.Token, "writer", "desk")
+}
+
+func shape(d Deployment, o Options, load float64, seed uint64) loader.Shape {
+	s := loader.Shape{
+		Seed: seed, Duration: time.Duration(o.Seconds) * time.Second, Lookups: 40, Onces: 5,
+		Prompt: 1000, Output: 100, Prefixes: 20, PrefixSize: 256, PoisonWord: crashWord,
+	}
+	s.Summaries = load * d.Fleet.Capacity(s)
+	return s
+}
+
+// run sends one load and returns its row. During it disturb may cause a fault.
+func (s *system) run(ctx context.Context, o Options, shape loader.Shape, load float64, fault string, disturb func(context.Context), w io.Writer) Row {
+	t := launcher.DefaultTargets
+	targets := loader.Targets{Start: t.Start, Finish: t.Finish, Lookup: t.Lookup}
+	row := Row{
+		Deployment: s.deployment.Name, Policy: s.policy, Load: load, Seed: shape.Seed, Fault: fault,
+		Oracle: loader.Oracle(loader.Trace(shape), s.deployment.Fleet, targets),
+	}
+	before := s.usage(ctx)
+	begin := time.Now()
+	if disturb != nil {
+		go disturb(ctx)
+	}
+	row.Result = loader.Run(ctx, s.caller(), shape, targets, finder.New(s.HostList.Address), io.Discard)
+	row.take(before, s.usage(ctx), time.Since(begin))
+	row.EnginesLost = s.enginesLost()
+	n := row.Result.Classes[loader.Summary]
+	fmt.Fprintf(w, "%-7s %-8s load %.2f seed %d %-14s goodput %.3f oracle %.3f wasted %.2f%% start p95 %.0f ms finish p95 %.0f ms failed %d wrong %d lookups %.3f lost %d peers %.0f B/s cpu %.2f%% rss %.1f MB\n",
+		row.Deployment, row.Policy, load, shape.Seed, fault, row.Goodput(), row.Oracle, 100*row.Result.WastedShare, n.StartP95, n.FinishP95,
+		n.Failed, n.Wrong, row.Result.Classes[loader.Lookup].Goodput, row.EnginesLost, row.PeerBytes, 100*row.Processor, float64(row.Memory)/1e6)
+	return row
+}
+
+func (s *system) enginesLost() int {
+	n := 0
+	for _, e := range s.Engines {
+		select {
+		case <-e.Exited():
+			n++
+		default:
+		}
+	}
+	return n
+}
+
+// Run measures the deployments, writes rows to Dir as JSON and charts as SVG, and a line for each run to w.
+func Run(ctx context.Context, o Options, deployments []Deployment, w io.Writer) error {
+	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return errorx.Decorate(err, "measurer: unable to make the folder for results")
+	}
+	var rows []Row
+	for _, d := range deployments {
+		for _, policy := range o.Policies {
+			more, err := measurePolicy(ctx, o, d, policy, w)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, more...)
+		}
+		if o.Faults {
+			more, err := measureFaults(ctx, o, d, w)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, more...)
+		}
+	}
+	summarise(rows, w)
+	return write(o.Dir, rows)
+}
+
+func measurePolicy(ctx context.Context, o Options, d Deployment, policy string, w io.Writer) ([]Row, error) {
+	s, err := start(ctx, o, d, policy)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Stop()
+	var rows []Row
+	for _, load := range o.Loads {
+		for _, seed := range o.Seeds {
+			rows = append(rows, s.run(ctx, o, shape(d, o, load, seed), load, "", nil, w))
+		}
+	}
+	return rows, nil
+}
+
+func write(dir string, rows []Row) error {
+	data, err := json.MarshalIndent(rows, "", " ")
+	if err != nil {
+		return errorx.Decorate(err, "measurer: unable to encode the rows")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "rows.json"), data, 0o644); err != nil {
+		return errorx.Decorate(err, "measurer: unable to write the rows")
+	}
+	return draw(dir, rows)
+}
+
+// summarise prints the mean and the spread of goodput and waste for each policy and load.
+func summarise(rows []Row, w io.Writer) {
+	type group struct {
+		deployment, policy, fault string
+		load                      float64
+	}
+	var order []group
+	groups := make(map[group][]Row)
+	for _, r := range rows {
+		g := group{r.Deployment, r.Policy, r.Fault, r.Load}
+		if groups[g] == nil {
+			order = append(order, g)
+		}
+		groups[g] = append(groups[g], r)
+	}
+	for _, g := range order {
+		low, high, sum, oracle, waste := math.Inf(1), math.Inf(-1), 0.0, 0.0, 0.0
+		for _, r := range groups[g] {
+			low, high = min(low, r.Goodput()), max(high, r.Goodput())
+			sum += r.Goodput()
+			oracle += r.Oracle
+			waste += r.Result.WastedShare
+		}
+		n := float64(len(groups[g]))
+		fmt.Fprintf(w, "| %s | %s | %.2f | %s | %.3f | %.3f–%.3f | %.3f | %.2f%% |\n",
+			g.deployment, g.policy, g.load, g.fault, sum/n, low, high, oracle/n, 100*waste/n)
+	}
+}
