Book places in prefill queues too, and predict departures

Change: an owner counts a report only beyond the bookings that it can have seen, and grants a slot that is predicted to be free by the time the first token is due, one standard deviation on the cautious side. The owner of a prefill engine keeps its queue in the same way. What an engine has cached is remembered per engine and prefix. The times from prefill to first token and per token are learned.

--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/internal/settings"
 	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/finder"
 )
 
@@ -38,6 +39,7 @@
 	cmd := &cobra.Command{Use: "load", Short: "Send a load of a seed and print what became of it", Args: cobra.NoArgs}
 	r := settings.Add(cmd, envPrefix+"_LOAD", loadOptions)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		eventer.New("lab", "warn", false, os.Stderr)
 		shape := loader.Shape{
 			Seed: uint64(r.Integer("seed", 0, 1<<31)), Duration: r.Duration("duration", time.Millisecond),
 			Summaries: r.Number("summaries", 0), Lookups: r.Number("lookups", 0), Onces: r.Number("onces", 0),
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/tls"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -46,6 +47,7 @@
 	{Name: "heartbeat", Default: "1s", Doc: "time between heartbeats"},
 	{Name: "suspicion", Default: "3s", Doc: "how long a silent host may contradict before it is held for dead"},
 	{Name: "seed", Default: "1", Doc: "seed of random choices"},
+	{Name: "gc-percent", Default: "50", Doc: "growth of the heap between garbage collections, in percent; smaller saves memory"},
 	{Name: "log-level", Default: "info", Doc: "trace, debug, info, warn or error"},
 	{Name: "log-format", Default: "text", Doc: "text or json"},
 }
@@ -81,6 +83,7 @@
 		SuspicionTimeout: r.Duration("suspicion", 10*time.Millisecond),
 		Seed:             uint64(r.Integer("seed", 0, 1<<31)),
 	}
+	debug.SetGCPercent(r.Integer("gc-percent", 10, 1000))
 	r.OneOf("log-level", "trace", "debug", "info", "warn", "error")
 	r.OneOf("log-format", "text", "json")
 	cfg.TLS = readTLS(r)
--- a/lab/loader/loader.go
+++ b/lab/loader/loader.go
@@ -37,20 +37,22 @@
 
 // Count is what became of the requests of one class. Served ones met both targets; Late ones were whole but late.
 type Count struct {
-	Sent      int     `json:"sent"`
-	Served    int     `json:"served"`
-	Late      int     `json:"late"`
-	Refused   int     `json:"refused"`
-	Failed    int     `json:"failed"`
-	Wrong     int     `json:"wrong"`
-	Left      int     `json:"left"`
-	Goodput   float64 `json:"goodput"`
-	StartP50  float64 `json:"start_p50_ms"`
-	StartP95  float64 `json:"start_p95_ms"`
-	StartP99  float64 `json:"start_p99_ms"`
-	FinishP50 float64 `json:"finish_p50_ms"`
-	FinishP95 float64 `json:"finish_p95_ms"`
-	FinishP99 float64 `json:"finish_p99_ms"`
+	Sent    int `json:"sent"`
+	Served  int `json:"served"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	Wrong   int `json:"wrong"`
+	Left    int `json:"left"`
+	// Codes counts the error codes of answers.
+	Codes     map[string]int `json:"codes"`
+	Goodput   float64        `json:"goodput"`
+	StartP50  float64        `json:"start_p50_ms"`
+	StartP95  float64        `json:"start_p95_ms"`
+	StartP99  float64        `json:"start_p99_ms"`
+	FinishP50 float64        `json:"finish_p50_ms"`
+	FinishP95 float64        `json:"finish_p95_ms"`
+	FinishP99 float64        `json:"finish_p99_ms"`
 	start     *hdrhistogram.Histogram
 	finish    *hdrhistogram.Histogram
 }
@@ -68,7 +70,7 @@
 func Run(ctx context.Context, c *Caller, s Shape, t Targets, hosts *finder.Client, w io.Writer) Result {
 	result := Result{Classes: make(map[Class]*Count)}
 	for _, class := range Classes {
-		result.Classes[class] = &Count{start: hdrhistogram.New(1, longest, digits), finish: hdrhistogram.New(1, longest, digits)}
+		result.Classes[class] = &Count{Codes: make(map[string]int), start: hdrhistogram.New(1, longest, digits), finish: hdrhistogram.New(1, longest, digits)}
 	}
 	before := engineCounts(ctx, hosts)
 	var mu sync.Mutex
@@ -121,6 +123,9 @@
 		n.Left++
 		return
 	}
+	if r.Code != "" {
+		n.Codes[r.Code]++
+	}
 	switch {
 	case r.Err != nil || r.Code == "stream_failed":
 		n.Failed++
--- a/lab/measurer/faults.go
+++ b/lab/measurer/faults.go
@@ -81,6 +81,7 @@
 		return Row{}, err
 	}
 	defer s.Stop()
+	s.warm(ctx, o)
 	shape := shape(d, o, faultLoad, o.Seeds[0])
 	f.change(&shape)
 	var disturb func(context.Context)
--- a/lab/measurer/idle.go
+++ b/lab/measurer/idle.go
@@ -111,4 +111,3 @@
 	slices.Sort(times)
 	return append(times, make([]time.Duration, 1-min(1, len(times)))...)
 }
-
--- a/parts/coordination/admitter/admitter.go
+++ b/parts/coordination/admitter/admitter.go
@@ -11,33 +11,30 @@
 
 // Estimate is what is known of the way of a request. Token counts are of the prompt, Rate is in tokens per second.
 type Estimate struct {
-	// Backlog is the number of tokens that the prefill engine has still to read before this prompt.
-	Backlog int
+	// Wait is the time before the prefill engine begins with this prompt.
+	Wait time.Duration
 	// Tokens is the length of the prompt, Cached the part of it that the engine need not read.
 	Tokens int
 	Cached int
 	Rate   float64
-	// Transfer is the time to move the KV cache.
+	// Transfer is the time from the end of the prefill to the first token.
 	Transfer time.Duration
-	// Slot is the time until a decode slot is free.
-	Slot time.Duration
 	// Output is the number of tokens to be made, Step the time for each.
 	Output int
 	Step   time.Duration
 }
 
-// Prefill returns the time until the prompt is read.
+// Prefill returns the time to read the prompt.
 func (e Estimate) Prefill() time.Duration {
 	if e.Rate <= 0 {
 		return 0
 	}
-	tokens := e.Backlog + max(0, e.Tokens-e.Cached)
-	return time.Duration(float64(tokens) / e.Rate * float64(time.Second))
+	return time.Duration(float64(max(0, e.Tokens-e.Cached)) / e.Rate * float64(time.Second))
 }
 
 // Start returns the predicted time to the first token.
 func (e Estimate) Start() time.Duration {
-	return max(e.Prefill()+e.Transfer, e.Slot) + e.Step
+	return e.Wait + e.Prefill() + e.Transfer
 }
 
 // Finish returns the predicted time to the last token.
--- a/parts/coordination/booker/booker.go
+++ b/parts/coordination/booker/booker.go
@@ -4,7 +4,11 @@
 // by itself, and losing it costs goodput, never correctness.
 package booker
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // Report is an engine's own account of its load. Held and Capacity are in KV blocks.
 type Report struct {
@@ -16,11 +20,13 @@
 	Incarnation string
 }
 
-// Request asks for one slot and a number of KV blocks from Arrival on. Until is when the booking lapses by itself.
+// Request asks for one slot and a number of KV blocks. Arrival is when the slot is wanted, Latest when it is of no use
+// any more, Until when the booking lapses by itself.
 type Request struct {
 	ID      string
 	Blocks  int
 	Arrival time.Time
+	Latest  time.Time
 	Until   time.Time
 	// Suspect marks a request that an engine died under. An engine runs one suspect at a time.
 	Suspect bool
@@ -28,27 +34,39 @@
 
 type booking struct {
 	blocks  int
+	arrival time.Time
 	until   time.Time
 	suspect bool
 }
 
+const (
+	// sweepPeriod is how often lapsed bookings are searched for.
+	sweepPeriod = 500 * time.Millisecond
+	// windows of windowLength are how far back a report may look: its lag and the time between two of them.
+	windows      = 5
+	windowLength = 500 * time.Millisecond
+	// serviceWeight is the weight of one request in the mean time that a slot is held.
+	serviceWeight = 0.05
+	// departureMargin is the number of standard deviations by which departures may fall short of their mean.
+	departureMargin = 1.0
+)
+
 // Book is the count of one engine. It is not safe for concurrent use.
 type Book struct {
-	// Service is the mean time that a request holds a slot, for predicting departures.
-	Service  time.Duration
+	service  time.Duration
 	report   Report
 	bookings map[string]booking
 	blocks   int
 	suspects int
 	sweep    time.Time
+	// peaks are the largest numbers of bookings in the last windows, the newest first.
+	peaks  [windows]int
+	window time.Time
 }
 
-// sweepPeriod is how often lapsed bookings are searched for.
-const sweepPeriod = 500 * time.Millisecond
-
 // New returns the count of an engine whose requests hold a slot for service.
 func New(service time.Duration) *Book {
-	return &Book{Service: service, bookings: make(map[string]booking)}
+	return &Book{service: service, bookings: make(map[string]booking)}
 }
 
 // Report takes an engine's report. A new incarnation of the engine holds nothing of what was booked before.
@@ -61,23 +79,35 @@
 	b.report = r
 }
 
-// Take books a slot if one is predicted to be free at the arrival. Taking an ID again renews it.
+// Take books a slot if one is predicted to be free in time. Taking an ID again renews it.
 func (b *Book) Take(now time.Time, r Request) bool {
 	b.lapse(now)
 	if _, ok := b.bookings[r.ID]; !ok && !b.fits(now, r) {
 		return false
 	}
-	b.Drop(r.ID)
-	b.bookings[r.ID] = booking{blocks: r.Blocks, until: r.Until, suspect: r.Suspect}
+	b.remove(r.ID)
+	b.bookings[r.ID] = booking{blocks: r.Blocks, arrival: r.Arrival, until: r.Until, suspect: r.Suspect}
 	b.blocks += r.Blocks
 	if r.Suspect {
 		b.suspects++
 	}
+	b.peaks[0] = max(b.peaks[0], len(b.bookings))
 	return true
 }
 
-// Drop gives back the slot of booking id.
-func (b *Book) Drop(id string) {
+// Drop gives back the slot of booking id and learns how long it was held.
+func (b *Book) Drop(now time.Time, id string) {
+	k, ok := b.bookings[id]
+	if !ok {
+		return
+	}
+	if held := now.Sub(k.arrival); held > 0 {
+		b.service += time.Duration(serviceWeight * float64(held-b.service))
+	}
+	b.remove(id)
+}
+
+func (b *Book) remove(id string) {
 	k, ok := b.bookings[id]
 	if !ok {
 		return
@@ -89,9 +119,14 @@
 	}
 }
 
-// Used returns the slots booked or reported in use, whichever is more.
+// Used returns the slots booked, and those reported in use beyond all bookings that the report can have seen.
 func (b *Book) Used() int {
-	return max(len(b.bookings), b.report.Running+b.report.Waiting)
+	return len(b.bookings) + b.unbooked()
+}
+
+// unbooked is the number of requests that the engine runs without a booking here.
+func (b *Book) unbooked() int {
+	return max(0, b.report.Running+b.report.Waiting-slices.Max(b.peaks[:]))
 }
 
 // Slots returns the slots that the engine reported.
@@ -101,34 +136,51 @@
 	if r.Suspect && b.suspects > 0 {
 		return false
 	}
-	departures := b.departures(r.Arrival.Sub(now))
+	departures := b.departures(r.Latest.Sub(now))
 	if b.Used() >= b.report.Slots+departures {
 		return false
 	}
-	free := b.report.Capacity - max(b.blocks, b.report.Held)
-	if b.Used() > 0 {
-		free += departures * max(b.blocks, b.report.Held) / b.Used()
+	held := b.blocks
+	if b.unbooked() > 0 {
+		held = max(held, b.report.Held)
+	}
+	free := b.report.Capacity - held
+	if used := b.Used(); used > 0 {
+		free += departures * held / used
 	}
 	return r.Blocks <= free
 }
 
-// departures predicts how many of the running requests end within ahead.
+// departures predicts how many of the running requests end within ahead, on the cautious side: departures that are
+// independent vary about their mean by its square root.
 func (b *Book) departures(ahead time.Duration) int {
-	if ahead <= 0 || b.Service <= 0 {
+	if ahead <= 0 || b.service <= 0 {
 		return 0
 	}
 	running := min(b.Used(), b.report.Slots)
-	return int(float64(running) * min(1, ahead.Seconds()/b.Service.Seconds()))
+	mean := float64(running) * min(1, ahead.Seconds()/b.service.Seconds())
+	return int(max(0, mean-departureMargin*math.Sqrt(mean)))
 }
 
 func (b *Book) lapse(now time.Time) {
+	b.turn(now)
 	if now.Sub(b.sweep) < sweepPeriod {
 		return
 	}
 	b.sweep = now
 	for id, k := range b.bookings {
 		if now.After(k.until) {
-			b.Drop(id)
+			b.remove(id)
 		}
 	}
 }
+
+// turn begins a new window once the newest one is full.
+func (b *Book) turn(now time.Time) {
+	if now.Sub(b.window) < windowLength {
+		return
+	}
+	b.window = now
+	copy(b.peaks[1:], b.peaks[:windows-1])
+	b.peaks[0] = len(b.bookings)
+}
--- a/parts/state/sharder/map.go
+++ b/parts/state/sharder/map.go
@@ -64,6 +64,16 @@
 	m.Update(key, func(v V, _ bool) (V, bool) { return v, false })
 }
 
+// Clear removes every key.
+func (m *Map[K, V]) Clear() {
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.Lock()
+		clear(s.values)
+		s.mu.Unlock()
+	}
+}
+
 // Len returns the number of keys.
 func (m *Map[K, V]) Len() int {
 	n := 0
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -32,8 +32,8 @@
 	Used int `json:"used"`
 }
 
-// BookAsk asks the owner of an engine for a slot. Arrival and until are in
-// milliseconds from now.
+// BookAsk asks the owner of a decode engine for a slot. Times are in milliseconds
+// from now.
 type BookAsk struct {
 	// Arrival corresponds to the JSON schema field "arrival".
 	Arrival int `json:"arrival"`
@@ -44,8 +44,14 @@
 	// Engine corresponds to the JSON schema field "engine".
 	Engine string `json:"engine"`
 
-	// ID corresponds to the JSON schema field "id".
-	ID string `json:"id"`
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// Latest corresponds to the JSON schema field "latest".
+	Latest int `json:"latest"`
+
+	// Seq corresponds to the JSON schema field "seq".
+	Seq uint64 `json:"seq"`
 
 	// Suspect corresponds to the JSON schema field "suspect".
 	Suspect bool `json:"suspect"`
@@ -59,8 +65,11 @@
 	// Engine corresponds to the JSON schema field "engine".
 	Engine string `json:"engine"`
 
-	// ID corresponds to the JSON schema field "id".
-	ID string `json:"id"`
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// Seq corresponds to the JSON schema field "seq".
+	Seq uint64 `json:"seq"`
 }
 
 // CancelAnswer tells whether an attempt was cancelled.
@@ -364,6 +373,38 @@
 	Validator int `json:"validator"`
 }
 
+// QueueAnswer tells whether the place was given, and the wait in microseconds
+// before it.
+type QueueAnswer struct {
+	// Granted corresponds to the JSON schema field "granted".
+	Granted bool `json:"granted"`
+
+	// Wait corresponds to the JSON schema field "wait".
+	Wait int `json:"wait"`
+}
+
+// QueueAsk asks the owner of a prefill engine for a place in its queue. Times are
+// in microseconds, latest from now.
+type QueueAsk struct {
+	// Engine corresponds to the JSON schema field "engine".
+	Engine string `json:"engine"`
+
+	// Latest corresponds to the JSON schema field "latest".
+	Latest int `json:"latest"`
+
+	// Work corresponds to the JSON schema field "work".
+	Work int `json:"work"`
+}
+
+// QueueGive gives back a place that will not be used. Work is in microseconds.
+type QueueGive struct {
+	// Engine corresponds to the JSON schema field "engine".
+	Engine string `json:"engine"`
+
+	// Work corresponds to the JSON schema field "work".
+	Work int `json:"work"`
+}
+
 // ReleaseTell asks the home of a key to append a release of a claim.
 type ReleaseTell struct {
 	// ID corresponds to the JSON schema field "id".
--- a/transport/assembler/assembler.go
+++ b/transport/assembler/assembler.go
@@ -170,7 +170,7 @@
 		IsEngine: h.isEngine, Reported: func(e watcher.Endpoint) { h.reserver.Report(e) }, Logs: h.logs,
 	})
 	h.reserver = reserver.New(reserver.Options{
-		Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.watcher, Service: h.cfg.SlotService,
+		Hosts: h.gossiper, Messenger: h.messenger, Service: h.cfg.SlotService,
 	})
 	h.releaser = releaser.New(h.logs)
 	h.reaper = reaper.New(h.gossiper, h.watcher, h.releaser, h.logs)
--- a/transport/generator/engines.go
+++ b/transport/generator/engines.go
@@ -26,6 +26,8 @@
 	maxEvent = 64 << 10
 	// probeTimeout bounds the question whether an engine still listens.
 	probeTimeout = 500 * time.Millisecond
+	// stepTokens is the number of tokens over which the time per token is learned.
+	stepTokens = 20
 	// eventPrefix stands before the data of an event.
 	eventPrefix = "data: "
 	// endOfStream is the data of the last event of a whole answer.
@@ -108,7 +110,8 @@
 	if err != nil {
 		return f.fail(ctx, e, err)
 	}
-	g.prefixes.Set(f.prefix(), e.Name)
+	g.learnPrefix(e.Name, f.prefix(), max(answer.Usage.CachedTokens, min(f.request.Tokens, prefixWords)))
+	f.handedOver = time.Now()
 	g.options.Endpoints.Report(e.Name, answer.Load)
 	hold := time.Duration(answer.Transfer.HoldMillis)*time.Millisecond - holdMargin
 	f.transfer = &answer.Transfer
@@ -193,7 +196,21 @@
 	if err := f.emit(chunk.Choices[0].Delta.Content); err != nil {
 		return err
 	}
+	f.learnTimes()
 	f.position++
 	f.ended = chunk.Choices[0].FinishReason != ""
 	return nil
 }
+
+// learnTimes notes how long the token just emitted was waited for.
+func (f *flow) learnTimes() {
+	now := time.Now()
+	if !f.handedOver.IsZero() {
+		f.generator.learnHandover(now.Sub(f.handedOver))
+		f.handedOver = time.Time{}
+		f.firstToken, f.firstPosition = now, f.position
+	}
+	if f.position-f.firstPosition == stepTokens {
+		f.generator.learnStep(now.Sub(f.firstToken) / stepTokens)
+	}
+}
--- a/transport/generator/generator.go
+++ b/transport/generator/generator.go
@@ -103,8 +103,11 @@
 	policies   map[Policy]balancer.Policy[watcher.Endpoint]
 	budget     limiter.Budget
 	quarantine *quarantiner.Quarantine
-	prefixes   *sharder.Map[uint64, string]
-	suspects   *sharder.Map[string, chan struct{}]
+	// prefixes are the tokens that engines are believed to have cached.
+	prefixes *sharder.Map[cachedPrefix, int]
+	learned  atomic.Uint64
+	times    times
+	suspects *sharder.Map[string, chan struct{}]
 }
 
 // New returns a Generator and takes the kinds of messages it answers.
@@ -114,7 +117,7 @@
 		http:       dialer.New("engines", nil),
 		budget:     limiter.Budget{Ratio: retryRatio, Reserve: retryReserve},
 		quarantine: quarantiner.New(quarantineAge),
-		prefixes:   sharder.New[uint64, string](func(k uint64) uint64 { return k }),
+		prefixes:   sharder.New[cachedPrefix, int](hashPrefix),
 		suspects:   sharder.New[string, chan struct{}](xxhash.Sum64String),
 	}
 	g.policies = map[Policy]balancer.Policy[watcher.Endpoint]{
@@ -143,9 +146,9 @@
 		return convicted()
 	}
 	f := &flow{
-		generator: g, request: req, emit: emit, fingerprint: fingerprint,
-		id: fmt.Sprintf("%s/%d/%d", g.options.Node, g.options.Incarnation, g.sequence.Add(1)),
+		generator: g, request: req, emit: emit, fingerprint: fingerprint, begin: time.Now(), sequence: g.sequence.Add(1),
 	}
+	f.id = fmt.Sprintf("%s/%d/%d", g.options.Node, g.options.Incarnation, f.sequence)
 	g.countAttempt()
 	for {
 		err := f.try(ctx)
--- /dev/null
+++ b/transport/reserver/place.go
@@ -0,0 +1,78 @@
+package reserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+)
+
+// Place is a place in the queue of a prefill engine.
+type Place struct {
+	Granted bool
+	// Wait is the time before the work begins, as the owner counts it; it is not known if Asked is false.
+	Wait  time.Duration
+	Asked bool
+	give  func()
+}
+
+// Give gives back a place that will not be used. Only the first call does anything.
+func (p *Place) Give() {
+	if p.give == nil {
+		return
+	}
+	p.give()
+	p.give = nil
+}
+
+// Place asks the engine's owner for a place in its queue for work that must end by latest. If the owner is out of
+// reach, the place is granted unasked.
+func (r *Reserver) Place(ctx context.Context, engine string, work time.Duration, latest time.Time) *Place {
+	owner, own := r.options.Hosts.Home("engine/" + engine)
+	if own {
+		wait, ok := r.enqueue(engine, work, latest)
+		return &Place{Granted: ok, Wait: wait, Asked: true, give: func() { r.dequeue(engine, work) }}
+	}
+	if r.isSilent(owner.Name) {
+		return &Place{Granted: true}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ask := wire.QueueAsk{Engine: engine, Work: int(work.Microseconds()), Latest: int(time.Until(latest).Microseconds())}
+	answer, err := messenger.Call[wire.QueueAsk, wire.QueueAnswer](ctx, r.options.Messenger, owner.Address, kindQueue, ask)
+	if err != nil {
+		r.setSilent(owner.Name)
+		return &Place{Granted: true}
+	}
+	give := func() {
+		tell := wire.QueueGive{Engine: engine, Work: ask.Work}
+		_ = messenger.Tell(context.Background(), r.options.Messenger, owner.Address, kindGive, tell)
+	}
+	return &Place{Granted: answer.Granted, Wait: time.Duration(answer.Wait) * time.Microsecond, Asked: true, give: give}
+}
+
+func (r *Reserver) enqueue(engine string, work time.Duration, latest time.Time) (time.Duration, bool) {
+	c := r.counts(engine)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.Take(time.Now(), work, latest)
+}
+
+func (r *Reserver) dequeue(engine string, work time.Duration) {
+	c := r.counts(engine)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.Give(work)
+}
+
+func (r *Reserver) answerQueue(_ context.Context, w wire.QueueAsk) (wire.QueueAnswer, error) {
+	latest := time.Now().Add(time.Duration(w.Latest) * time.Microsecond)
+	wait, ok := r.enqueue(w.Engine, time.Duration(w.Work)*time.Microsecond, latest)
+	return wire.QueueAnswer{Granted: ok, Wait: int(wait.Microseconds())}, nil
+}
+
+func (r *Reserver) answerGive(_ context.Context, w wire.QueueGive) (wire.Empty, error) {
+	r.dequeue(w.Engine, time.Duration(w.Work)*time.Microsecond)
+	return wire.Empty{}, nil
+}
--- a/transport/watcher/watcher.go
+++ b/transport/watcher/watcher.go
@@ -46,8 +46,10 @@
 	Load   completer.Load
 	LoadAt time.Time
 	// InFlight is the number of this host's requests there; Tokens are the prompt tokens sent since LoadAt.
-	InFlight  int
-	Tokens    int
+	InFlight int
+	Tokens   int
+	// Free is when a prefill engine has done all that is queued there, as its owner last told.
+	Free      time.Time
 	downUntil time.Time
 }
 
@@ -240,6 +242,11 @@
 	})
 }
 
+// SetFree takes the time at which a prefill engine has done all that is queued there.
+func (w *Watcher) SetFree(name string, free time.Time) {
+	w.change(name, func(e *Endpoint) { e.Free = free })
+}
+
 func (w *Watcher) change(name string, f func(*Endpoint)) {
 	w.endpoints.Update(name, func(e Endpoint, ok bool) (Endpoint, bool) {
 		f(&e)
