Count an engine's death only against requests that ran there

Cause: the poison scenario failed. A process that is ending still accepts a connection, so deaths were missed and four engines were lost; and a request that found dead engines was taken for their killer and refused, though no byte of it had reached them. A convicted request was answered not_run although engines had worked on it.

Change: the probe asks for the load report and takes a broken connection for death; a request that did not reach an engine is no suspect; a conviction on the way has the outcome unknown. The chaos scenario now checks that no key ran whose every answer was not_run, and that every key answered done has run.

Ruled out: waiting before the probe, which is a sleep in place of a proof.

--- a/scenarios/driver_test.go
+++ b/scenarios/driver_test.go
@@ -255,17 +255,21 @@
 	return fmt.Sprintf("status=%d code=%s outcome=%s in=%dms %s", r.Status, r.Code, r.Outcome, r.Finish.Milliseconds(), r.Body), nil
 }
 
-// onces sends many tickets, each to every host at once, and counts answers: onces from=N to=M
+// onces sends many tickets, each to every host at once, and counts answers: onces from=N to=M. False counts keys that ran
+// although every answer said "not run", or did not run although an answer said "done".
 func (d *driver) onces(words []string) (string, error) {
 	o := parse(words)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	outcomes := make(map[string]int)
+	perKey := make(map[string]map[string]int)
 	for n := o.number("from", 0); n < o.number("to", 10); n++ {
+		key := fmt.Sprintf("many-%d", n)
+		perKey[key] = make(map[string]int)
 		for _, h := range d.system.Hosts {
 			wait.Go(func() {
 				c := loader.NewCaller([]netip.AddrPort{h.Address}, launcher.Token, "writer", "desk")
-				r := c.Call(d.ctx, h.Address, http.MethodPost, c.Path, fmt.Sprintf("many-%d", n), []byte("same"))
+				r := c.Call(d.ctx, h.Address, http.MethodPost, c.Path, key, []byte("same"))
 				outcome := r.Outcome
 				if r.Err != nil {
 					outcome = "broken"
@@ -273,12 +277,31 @@
 				mu.Lock()
 				defer mu.Unlock()
 				outcomes[outcome]++
+				perKey[key][outcome]++
 			})
 		}
 		time.Sleep(time.Duration(o.number("pause", 5)) * time.Millisecond)
 	}
 	wait.Wait()
-	return fmt.Sprintf("done=%d not_run=%d unknown=%d broken=%d", outcomes["done"], outcomes["not_run"], outcomes["unknown"], outcomes["broken"]), nil
+	runs, err := demonstrator.Runs(d.ctx, d.system)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("done=%d not_run=%d unknown=%d broken=%d false=%d",
+		outcomes["done"], outcomes["not_run"], outcomes["unknown"], outcomes["broken"], countFalse(perKey, runs, len(d.system.Hosts))), nil
+}
+
+func countFalse(perKey map[string]map[string]int, runs map[string]int, hosts int) int {
+	n := 0
+	for key, outcomes := range perKey {
+		if outcomes["done"] > 0 && runs[key] == 0 {
+			n++
+		}
+		if outcomes["not_run"] == hosts && runs[key] > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 func (d *driver) lookup(words []string) (string, error) {
--- a/transport/generator/engines.go
+++ b/transport/generator/engines.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -44,6 +43,16 @@
 	return fmt.Sprintf("generator: unable to use engine %s: %s", e.Engine, e.Reason)
 }
 
+// UnreachableError reports an engine that a request has not reached.
+type UnreachableError struct {
+	Engine string
+	Reason string
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("generator: unable to reach engine %s: %s", e.Engine, e.Reason)
+}
+
 func (f *flow) body(stream bool) completer.Request {
 	body := f.request.Body
 	body.RequestID = f.id
@@ -63,7 +72,10 @@
 		return nil, err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	resp, _, err := g.http.Do(r)
+	resp, sent, err := g.http.Do(r)
+	if err != nil && !sent {
+		return nil, &UnreachableError{Engine: e.Name, Reason: err.Error()}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -77,13 +89,20 @@
 	return resp, nil
 }
 
-// isDead tells whether e refuses connections.
+// isDead tells whether e refuses or breaks a connection. An engine that does not answer in time is not held for dead: it
+// may be frozen, and a process that is ending may still accept a connection, which it then breaks.
 func (g *Generator) isDead(e watcher.Endpoint) bool {
-	conn, err := net.DialTimeout("tcp", e.Address.String(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	r, err := dialer.Request(ctx, http.MethodGet, fmt.Sprintf("http://%s/v1/load", e.Address), nil, 0)
+	if err != nil {
+		return false
+	}
+	resp, _, err := g.http.Do(r)
 	if err != nil {
-		return true
+		return ctx.Err() == nil
 	}
-	_ = conn.Close()
+	_ = resp.Body.Close()
 	return false
 }
 
--- a/transport/generator/flow.go
+++ b/transport/generator/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -110,7 +111,8 @@
 	}
 }
 
-// fail notes a failed attempt at e and counts the engine's death against the request if it died.
+// fail notes a failed attempt at e and counts the engine's death against the request if it died while
+// it ran it.
 func (f *flow) fail(ctx context.Context, e watcher.Endpoint, cause error) error {
 	g := f.generator
 	g.options.Releaser.Release(e, f.id, f.attempt)
@@ -120,6 +122,11 @@
 	}
 	f.failed = append(f.failed, e.Name)
 	eventer.Warn(g.options.Logs, eventer.AttemptFailed, "engine", e.Name, "request", f.id, "attempt", f.attempt, "error", cause.Error())
+	var unreachable *UnreachableError
+	if errors.As(cause, &unreachable) {
+		g.options.Endpoints.Down(e.Name)
+		return cause
+	}
 	if g.isDead(e) {
 		g.options.Endpoints.Down(e.Name)
 		g.died(e, f.fingerprint)
--- a/transport/generator/generator.go
+++ b/transport/generator/generator.go
@@ -60,12 +60,13 @@
 	Tokens int
 }
 
-// RefusedError reports a request that no engine has worked on.
+// RefusedError reports a request that is not served. Ran tells whether an engine has worked on it.
 type RefusedError struct {
 	Code       string
 	Status     int
 	Reason     string
 	RetryAfter time.Duration
+	Ran        bool
 }
 
 func (e *RefusedError) Error() string { return "generator: unable to serve: " + e.Reason }
@@ -143,7 +144,7 @@
 func (g *Generator) Generate(ctx context.Context, req Request, emit func(string) error) error {
 	fingerprint := xxhash.Sum64String(req.Prompt)
 	if g.isConvicted(fingerprint) {
-		return convicted()
+		return convicted(false)
 	}
 	f := &flow{
 		generator: g, request: req, emit: emit, fingerprint: fingerprint, begin: time.Now(), sequence: g.sequence.Add(1),
@@ -162,10 +163,10 @@
 	}
 }
 
-func convicted() *RefusedError {
+func convicted(ran bool) *RefusedError {
 	return &RefusedError{
 		Code: "request_convicted", Status: http.StatusUnprocessableEntity,
-		Reason: "engines crashed while they ran this request",
+		Reason: "engines crashed while they ran this request", Ran: ran,
 	}
 }
 
@@ -181,7 +182,7 @@
 	case errors.As(err, &refused):
 		return refused
 	case g.isConvicted(f.fingerprint):
-		return convicted()
+		return convicted(f.tries > 0)
 	case f.tries >= maxTries || !g.takeRetry():
 		return &FailedError{Tries: f.tries, Reason: err.Error()}
 	}
--- a/transport/responder/complete.go
+++ b/transport/responder/complete.go
@@ -218,6 +218,9 @@
 	var refused *generator.RefusedError
 	if errors.As(err, &refused) {
 		f := notRun(refused.Code, refused.Reason)
+		if refused.Ran {
+			f.Outcome = executor.Unclear
+		}
 		if refused.RetryAfter > 0 {
 			f = f.after(refused.RetryAfter)
 		}
