Forget unused streams, speak TLS in the tool, back off from a log that is out

Change: streams without a home here are left after two minutes without use; --ca; the pause between reads doubles up to 1.6 s.

Ruled out: unfollowing at once, because homes change when a host is only suspected.

--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,9 @@
 measure: build
 	$(BIN)/hornbeamctl lab measure
 
+fuzz:
+	cd parts && go test -run xxx -fuzz FuzzParse -fuzztime 20s ./coordination/parser
+	go test -run xxx -fuzz FuzzDecode -fuzztime 20s ./protocol/encoder
+
 clean:
 	rm -rf $(BIN) out
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -21,6 +24,25 @@
 type client struct {
 	address netip.AddrPort
 	key     string
+	scheme  string
+	http    *http.Client
+}
+
+// newClient returns a client that speaks TLS if ca names a file with the certificate of the host's authority.
+func newClient(address netip.AddrPort, key, ca string) (*client, error) {
+	if ca == "" {
+		return &client{address: address, key: key, scheme: "http", http: http.DefaultClient}, nil
+	}
+	pem, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, errorx.Decorate(err, "control: unable to read the authority's certificate")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errorx.IllegalArgument.New("control: unable to find a certificate in %s", ca)
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return &client{address: address, key: key, scheme: "https", http: &http.Client{Transport: transport}}, nil
 }
 
 // StatusError reports a host that refused an operator's request.
@@ -41,12 +63,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s", c.address, path), bytes.NewReader(data))
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("%s://%s%s", c.scheme, c.address, path), bytes.NewReader(data))
 	if err != nil {
 		return answer, errorx.Decorate(err, "control: unable to build the request")
 	}
 	r.Header.Set("Authorization", "Bearer "+c.key)
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := c.http.Do(r)
 	if err != nil {
 		return answer, errorx.Decorate(err, "control: unable to reach the host")
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,6 +34,7 @@
 var hostOptions = []settings.Option{
 	{Name: "host", Default: "127.0.0.1:8101", Doc: "operators' address of any host"},
 	{Name: "key", Default: "", Doc: "operator key"},
+	{Name: "ca", Default: "", Doc: "certificate file of the hosts' authority; empty speaks plain HTTP"},
 }
 
 // hostCommand is a command that asks a host.
@@ -41,10 +42,14 @@
 	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.MaximumNArgs(1)}
 	reader := settings.Add(cmd, envPrefix, append(append([]settings.Option{}, hostOptions...), options...))
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		c := &client{address: reader.Address("host"), key: reader.Required("key")}
+		address, key := reader.Address("host"), reader.Required("key")
 		if err := reader.Err(); err != nil {
 			return err
 		}
+		c, err := newClient(address, key, reader.Text("ca"))
+		if err != nil {
+			return err
+		}
 		return run(cmd, c, reader, args)
 	}
 	return cmd
--- a/parts/coordination/claimer/ledger_test.go
+++ b/parts/coordination/claimer/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -202,3 +203,23 @@
 		})
 	}
 }
+
+func BenchmarkLedgerMemory(b *testing.B) {
+	for _, held := range []int{10_000, 50_000, 100_000, 200_000} {
+		b.Run(fmt.Sprintf("keys=%d", held), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				l := NewLedger(24 * time.Hour)
+				for i := range held {
+					l.apply(Entry{Kind: Claim, ID: id("a", uint64(i)), Key: Digest{byte(i), byte(i >> 8), byte(i >> 16), 1}})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(held), "B/key")
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
--- a/protocol/encoder/encoder_test.go
+++ b/protocol/encoder/encoder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -95,3 +96,48 @@
 		_, _ = Decode[wire.Envelope](data)
 	})
 }
+
+func BenchmarkOnceRecord(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 500} {
+		b.Run(fmt.Sprintf("claims=%d", n), func(b *testing.B) {
+			var p claimer.Payload
+			for i := range n {
+				id := claimer.ID{Node: "host-123", Incarnation: 1_764_800_000_000_000_000, Sequence: uint64(i)}
+				p.Entries = append(p.Entries, claimer.Entry{Kind: claimer.Claim, ID: id, Key: claimer.Digest{byte(i)}, Fingerprint: claimer.Digest{1}})
+			}
+			var size int
+			for range b.N {
+				data, err := OnceRecord(p)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/claim")
+		})
+	}
+}
+
+func BenchmarkGossip(b *testing.B) {
+	for _, n := range []int{0, 2, 4, 6} {
+		b.Run(fmt.Sprintf("updates=%d", n), func(b *testing.B) {
+			m := tracker.Member{
+				Name: "host-123", Address: netip.MustParseAddrPort("10.12.13.14:8102"), Callers: netip.MustParseAddrPort("10.12.13.14:8100"),
+				DataCentre: "lima-norte", Incarnation: 1_764_800_000_000_000_000,
+			}
+			message := tracker.Message{From: m, Rules: 100_000}
+			for range n {
+				message.Updates = append(message.Updates, m)
+			}
+			var size int
+			for range b.N {
+				data, err := Encode(Gossip(message))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+}
--- a/transport/assembler/assembler.go
+++ b/transport/assembler/assembler.go
@@ -242,11 +242,7 @@
 	ticker := time.NewTicker(h.cfg.HeartbeatPeriod)
 	defer ticker.Stop()
 	for {
-		for _, s := range h.registrar.Streams() {
-			if h.isHome(s) {
-				h.registrar.Follow(s)
-			}
-		}
+		h.registrar.Follow()
 		select {
 		case <-ctx.Done():
 			return
--- a/transport/follower/follower.go
+++ b/transport/follower/follower.go
@@ -14,8 +14,11 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/logger"
 )
 
-// retryPause is the time between reads while the log fails.
-const retryPause = 200 * time.Millisecond
+const (
+	// firstPause is the time before the first read after a failure; each next one waits twice as long, up to lastPause.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 1600 * time.Millisecond
+)
 
 // Codec turns payloads into the bytes of log records and back.
 type Codec[P any] struct {
@@ -66,14 +69,19 @@
 // Run reads until ctx ends.
 func (f *Follower[P]) Run(ctx context.Context) {
 	defer close(f.done)
+	pause := firstPause
 	for ctx.Err() == nil {
-		if err := f.read(ctx); err != nil {
-			f.fail(ctx, err)
+		err := f.read(ctx)
+		if err == nil {
+			pause = firstPause
+			continue
 		}
+		f.fail(ctx, err, pause)
+		pause = min(2*pause, lastPause)
 	}
 }
 
-func (f *Follower[P]) fail(ctx context.Context, err error) {
+func (f *Follower[P]) fail(ctx context.Context, err error, pause time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -86,7 +94,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-time.After(pause):
 	}
 }
 
--- a/transport/generator/generator.go
+++ b/transport/generator/generator.go
@@ -101,7 +101,7 @@
 	http       *dialer.Client
 	sequence   atomic.Uint64
 	mu         sync.Mutex
-	policies   map[Policy]balancer.Policy[watcher.Endpoint]
+	policies   map[string]balancer.Policy[watcher.Endpoint]
 	budget     limiter.Budget
 	quarantine *quarantiner.Quarantine
 	// prefixes are the tokens that engines are believed to have cached.
@@ -119,13 +119,9 @@
 		budget:     limiter.Budget{Ratio: retryRatio, Reserve: retryReserve},
 		quarantine: quarantiner.New(quarantineAge),
 		prefixes:   sharder.New[cachedPrefix, int](hashPrefix),
+		policies:   make(map[string]balancer.Policy[watcher.Endpoint]),
 		suspects:   sharder.New[string, chan struct{}](xxhash.Sum64String),
 	}
-	g.policies = map[Policy]balancer.Policy[watcher.Endpoint]{
-		Choices: &balancer.TwoChoices[watcher.Endpoint]{Source: o.Random, Cost: cost},
-		Robin:   &balancer.RoundRobin[watcher.Endpoint]{},
-		Random:  &balancer.Random[watcher.Endpoint]{Source: o.Random},
-	}
 	messenger.Handle(o.Messenger, kindSuspect, g.learnSuspect)
 	return g
 }
@@ -201,11 +197,25 @@
 	return g.budget.Retry()
 }
 
+// pick chooses one of the candidates, which are all of one pool. Each pool has a state of its own.
 func (g *Generator) pick(p Policy, candidates []watcher.Endpoint) watcher.Endpoint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p == Book {
-		p = Choices
+	pool := candidates[0].Pool
+	policy := g.policies[pool]
+	if policy == nil {
+		policy = g.newPolicy(p)
+		g.policies[pool] = policy
+	}
+	return candidates[policy.Pick(candidates)]
+}
+
+func (g *Generator) newPolicy(p Policy) balancer.Policy[watcher.Endpoint] {
+	switch p {
+	case Robin:
+		return &balancer.RoundRobin[watcher.Endpoint]{}
+	case Random:
+		return &balancer.Random[watcher.Endpoint]{Source: g.options.Random}
 	}
-	return candidates[g.policies[p].Pick(candidates)]
+	return &balancer.TwoChoices[watcher.Endpoint]{Source: g.options.Random, Cost: cost}
 }
--- a/transport/registrar/book.go
+++ b/transport/registrar/book.go
@@ -16,6 +16,8 @@
 	maxBatch = 500
 	// retryPause is the time between appends while the log fails.
 	retryPause = 200 * time.Millisecond
+	// idleTime is how long a stream is followed after its last use by a host that is not its home.
+	idleTime = 2 * time.Minute
 	// keptBytes bounds the kept answers of one stream.
 	keptBytes = 256 << 10
 	// maxKept is the largest answer that is kept.
@@ -43,6 +45,8 @@
 	order    []claimer.Digest
 	size     int
 	keptNew  chan struct{}
+	used     time.Time
+	stop     context.CancelFunc
 }
 
 func newBook(stream string, o Options) *book {
@@ -101,6 +105,19 @@
 	return payloads
 }
 
+func (b *book) use() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used = time.Now()
+}
+
+// isIdle tells whether nothing waits here and nobody has asked for idleTime, which is longer than any wait.
+func (b *book) isIdle(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.claims)+len(b.durable)+b.sending == 0 && now.Sub(b.used) > idleTime
+}
+
 func (b *book) signal() {
 	select {
 	case b.wake <- struct{}{}:
--- a/transport/registrar/registrar.go
+++ b/transport/registrar/registrar.go
@@ -84,8 +84,23 @@
 	return fmt.Sprintf("once-%03d", n)
 }
 
-// Follow starts to follow the stream of key, so that a later claim finds it read.
-func (r *Registrar) Follow(stream string) { r.open(stream) }
+// Follow starts to follow the streams that this host is home of, so that later claims find them read, and stops to
+// follow others that were not used for idleTime.
+func (r *Registrar) Follow() {
+	for _, s := range r.Streams() {
+		if r.options.IsHome(s) {
+			r.open(s)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s, b := range r.books {
+		if !r.options.IsHome(s) && b.isIdle(time.Now()) {
+			b.stop()
+			delete(r.books, s)
+		}
+	}
+}
 
 // Streams returns the names of all streams.
 func (r *Registrar) Streams() []string {
@@ -103,8 +118,11 @@
 	if b == nil {
 		b = newBook(stream, r.options)
 		r.books[stream] = b
-		r.wait.Go(func() { b.run(r.ctx) })
+		ctx, stop := context.WithCancel(r.ctx)
+		b.stop = stop
+		r.wait.Go(func() { b.run(ctx) })
 	}
+	b.use()
 	return b
 }
 
