Ask decode owners in turns, and owners alone for load reports

Every host asked every engine for its load each second, some 0.5 KB a question, which grows with the engines. At 24 idle hosts a host used 32.8 MB, because sessions stayed open for 60 s.

Change: with booking, decode engines are asked in turns; each host asks the engines that it owns for their load, others once a minute; sessions close after 15 s.

--- a/transport/assembler/assembler.go
+++ b/transport/assembler/assembler.go
@@ -167,7 +167,7 @@
 func (h *Host) buildEndpoints() {
 	h.watcher = watcher.New(watcher.Options{
 		Hosts: finder.New(h.cfg.Hosts), HostPeriod: h.cfg.HostPeriod, LoadPeriod: h.cfg.LoadPeriod,
-		IsEngine: h.isEngine, Reported: func(e watcher.Endpoint) { h.reserver.Report(e) }, Logs: h.logs,
+		IsEngine: h.isEngine, IsOwned: h.isOwned, Reported: func(e watcher.Endpoint) { h.reserver.Report(e) }, Logs: h.logs,
 	})
 	h.reserver = reserver.New(reserver.Options{
 		Hosts: h.gossiper, Messenger: h.messenger, Service: h.cfg.SlotService,
@@ -185,6 +185,11 @@
 	return kind == parser.Prefill || kind == parser.Decode
 }
 
+// isOwned tells whether this host needs each load report of an engine. The baselines go by reports alone.
+func (h *Host) isOwned(engine string) bool {
+	return h.cfg.Policy != generator.Book || h.isHome("engine/"+engine)
+}
+
 func (h *Host) buildResponder(incarnation uint64) {
 	forward := forwarder.New(h.watcher, h.random("services"))
 	h.responder = responder.New(responder.Options{
--- a/transport/generator/generator.go
+++ b/transport/generator/generator.go
@@ -212,7 +212,7 @@
 
 func (g *Generator) newPolicy(p Policy) balancer.Policy[watcher.Endpoint] {
 	switch p {
-	case Robin:
+	case Book, Robin:
 		return &balancer.RoundRobin[watcher.Endpoint]{}
 	case Random:
 		return &balancer.Random[watcher.Endpoint]{Source: g.options.Random}
--- a/transport/generator/route.go
+++ b/transport/generator/route.go
@@ -153,7 +153,7 @@
 	return 0
 }
 
-// askDecode asks for a slot at the engines that seem least used. The slot is not granted if all are full.
+// askDecode asks for a slot at one engine after the other. The slot is not granted if all are full.
 func (f *flow) askDecode(ctx context.Context, r *route) error {
 	g := f.generator
 	candidates := f.candidates(f.request.Model.Decode)
@@ -163,7 +163,7 @@
 	now := time.Now()
 	arrival := now.Add(r.estimate.Wait + r.estimate.Prefill())
 	for range min(askedOwners, len(candidates)) {
-		e := g.pick(Choices, candidates)
+		e := g.pick(Book, candidates)
 		candidates = slices.DeleteFunc(candidates, func(o watcher.Endpoint) bool { return o.Name == e.Name })
 		r.decode = e
 		r.slot = g.options.Reserver.Slot(ctx, e.Name, reserver.SlotRequest{
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -30,7 +30,7 @@
 	// maxMessage bounds the bytes of one message.
 	maxMessage = 8 << 20
 	// idleTimeout is how long an unused session stays open.
-	idleTimeout = 60 * time.Second
+	idleTimeout = 15 * time.Second
 	// connectTimeout bounds the opening of a session.
 	connectTimeout = time.Second
 	// writeTimeout bounds the sending of one message.
--- a/transport/watcher/watcher.go
+++ b/transport/watcher/watcher.go
@@ -31,6 +31,8 @@
 	loadTimeout = time.Second
 	// maxLoad bounds the bytes of one load report.
 	maxLoad = 64 << 10
+	// rarePeriods is the number of load periods between two questions to an engine that this host does not own.
+	rarePeriods = 60
 	// downPause is how long an endpoint that refused a connection is left out.
 	downPause = 2 * time.Second
 )
@@ -62,6 +64,8 @@
 	LoadPeriod time.Duration
 	// IsEngine tells whether the endpoints of a pool report load.
 	IsEngine func(pool string) bool
+	// IsOwned tells whether this host counts the slots of an engine for all. Other engines are asked rarely.
+	IsOwned func(name string) bool
 	// Reported is called with each load report.
 	Reported func(e Endpoint)
 	Logs     hclog.Logger
@@ -76,6 +80,7 @@
 	pools     map[string][]string
 	ready     chan struct{}
 	once      sync.Once
+	period    int
 	done      chan struct{}
 }
 
@@ -159,12 +164,18 @@
 	return old
 }
 
+// pollLoads asks engines for their load: own ones and those that have never answered each time, others rarely.
 func (w *Watcher) pollLoads(ctx context.Context) {
+	w.period++
 	var wait sync.WaitGroup
-	w.endpoints.Each(func(_ string, e Endpoint) {
+	w.endpoints.Each(func(name string, e Endpoint) {
 		if !w.options.IsEngine(e.Pool) {
 			return
 		}
+		rare := !e.LoadAt.IsZero() && !w.options.IsOwned(name)
+		if rare && (w.period+int(xxhash.Sum64String(name)%rarePeriods))%rarePeriods != 0 {
+			return
+		}
 		wait.Go(func() { w.pollLoad(ctx, e) })
 	})
 	wait.Wait()
