--- a/lab/loader/client.go
+++ b/lab/loader/client.go
@@ -94,12 +94,14 @@
 	Status  int
 	Code    string
 	Outcome string
-	Text    string
-	Whole   bool
-	Body    []byte
-	Start   time.Duration
-	Finish  time.Duration
-	Err     error
+	// Repeated tells that the answer is that of another attempt.
+	Repeated bool
+	Text     string
+	Whole    bool
+	Body     []byte
+	Start    time.Duration
+	Finish   time.Duration
+	Err      error
 }
 
 // Complete asks for a generated answer at one of the hosts, or at the one named. A cancelled request leaves after its
@@ -207,6 +209,7 @@
 	data, err := io.ReadAll(resp.Body)
 	return Reply{
 		Status: resp.StatusCode, Outcome: resp.Header.Get("X-Outcome"), Body: data, Err: err,
-		Whole: err == nil, Start: time.Since(begin), Finish: time.Since(begin),
+		Repeated: resp.Header.Get("X-Repeated") != "",
+		Whole:    err == nil, Start: time.Since(begin), Finish: time.Since(begin),
 	}
 }
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -5,7 +5,9 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -44,9 +46,16 @@
 	mu      sync.Mutex
 	tracker *tracker.Tracker
 	states  map[string]tracker.State
+	serving atomic.Pointer[serving]
 	done    chan struct{}
 }
 
+// serving are the hosts that homes are chosen from. It does not change; each change of the list makes a new one.
+type serving struct {
+	members []tracker.Member
+	names   []string
+}
+
 // New returns a Gossiper and takes the kinds of messages it answers.
 func New(o Options) *Gossiper {
 	g := &Gossiper{
@@ -55,6 +64,7 @@
 		states:  make(map[string]tracker.State),
 		done:    make(chan struct{}),
 	}
+	g.rebuild()
 	messenger.Handle(o.Messenger, kindGossip, g.receive)
 	messenger.Handle(o.Messenger, kindRules, g.takeRules)
 	messenger.Handle(o.Messenger, kindAsk, g.tellVersion)
@@ -92,12 +102,37 @@
 
 // note logs hosts whose state changed. The caller holds mu.
 func (g *Gossiper) note() {
-	for _, m := range g.tracker.Members() {
+	changed := false
+	members := g.tracker.Members()
+	for _, m := range members {
 		if old, ok := g.states[m.Name]; !ok || old != m.State {
 			g.states[m.Name] = m.State
+			changed = true
 			eventer.Info(g.options.Logs, eventer.HostState, "host", m.Name, "state", StateName(m.State))
 		}
 	}
+	if changed || len(members) != len(g.states) {
+		g.rebuild()
+	}
+}
+
+// rebuild takes the list of serving hosts anew. The caller holds mu, or is the only one.
+func (g *Gossiper) rebuild() {
+	next := &serving{}
+	if self := g.tracker.Self(); self.State == tracker.Alive {
+		next.members = append(next.members, self)
+	}
+	clear(g.states)
+	for _, m := range g.tracker.Members() {
+		g.states[m.Name] = m.State
+		if m.State == tracker.Alive {
+			next.members = append(next.members, m)
+		}
+	}
+	for _, m := range next.members {
+		next.names = append(next.names, m.Name)
+	}
+	g.serving.Store(next)
 }
 
 // StateName returns the word for s.
@@ -155,6 +190,7 @@
 func (g *Gossiper) Leave(ctx context.Context) {
 	g.mu.Lock()
 	g.tracker.Leave()
+	g.rebuild()
 	members := g.tracker.Members()
 	message := tracker.Message{From: g.tracker.Self(), Rules: g.options.Rules.Version()}
 	g.mu.Unlock()
@@ -180,32 +216,16 @@
 }
 
 // Serving returns the hosts that are not known to leave or to be out of reach, the own one included.
-func (g *Gossiper) Serving() []tracker.Member {
-	var list []tracker.Member
-	if self := g.Self(); self.State == tracker.Alive {
-		list = append(list, self)
-	}
-	for _, m := range g.Members() {
-		if m.State == tracker.Alive {
-			list = append(list, m)
-		}
-	}
-	return list
-}
+func (g *Gossiper) Serving() []tracker.Member { return slices.Clone(g.serving.Load().members) }
 
 // Home returns the host that serves key for all, and whether it is the own one.
 func (g *Gossiper) Home(key string) (tracker.Member, bool) {
-	self := g.Self()
-	serving := g.Serving()
-	names := make([]string, len(serving))
-	for i, m := range serving {
-		names[i] = m.Name
-	}
-	home := ranker.Home(key, names)
-	for _, m := range serving {
+	s := g.serving.Load()
+	home := ranker.Home(key, s.names)
+	for _, m := range s.members {
 		if m.Name == home {
-			return m, m.Name == self.Name
+			return m, m.Name == g.options.Self.Name
 		}
 	}
-	return self, true
+	return g.Self(), true
 }
