--- a/transport/eventer/eventer.go
+++ b/transport/eventer/eventer.go
@@ -20,7 +20,6 @@
 	Started         = Event{101, "started"}
 	Draining        = Event{102, "draining"}
 	Stopped         = Event{103, "stopped"}
-	SettingsInvalid = Event{104, "settings invalid"}
 	LibraryNote     = Event{105, "note of a library"}
 	LogUnreachable  = Event{201, "log unreachable"}
 	StreamExpired   = Event{202, "records expired before they were read"}
@@ -45,7 +44,7 @@
 
 // Events lists every event.
 var Events = []Event{
-	Started, Draining, Stopped, SettingsInvalid, LibraryNote, LogUnreachable, StreamExpired, RecordDamaged,
+	Started, Draining, Stopped, LibraryNote, LogUnreachable, StreamExpired, RecordDamaged,
 	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
 	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, AttemptFailed, Superseded, AuditLost,
 }
