Make one piece serve where the lab had two

Cause: reading the whole change once more. Targets stood as two equal types; setting a stand-in's faults, and starting a system with its first rules, stood in the scenarios and in the measuring tool; a queue place that was refused could be given back, which only its callers' check prevented; learned times found their defaults by learning from themselves; a measured system had a field that nobody read.

Ruled out: one type for slots and places in common: they share their shape, not what they hold.

Conclusion: less to read twice.

--- a/lab/demonstrator/demonstrator.go
+++ b/lab/demonstrator/demonstrator.go
@@ -92,6 +92,26 @@
 	return v, err
 }
 
+// Launch starts a system, publishes its first rules and waits until it is ready. The caller stops it.
+func Launch(ctx context.Context, spec launcher.Spec, t loader.Targets) (*launcher.System, error) {
+	s, err := launcher.Start(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	v, err := Publish(ctx, s.Hosts[0], "first", 0, launcher.Rules(t))
+	if err == nil && v.Verdict != overseer.Accepted {
+		err = &CheckError{Step: "the first rules", Reason: fmt.Sprintf("%+v", v)}
+	}
+	if err == nil {
+		err = s.AwaitReady(ctx)
+	}
+	if err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
 func publishRules(ctx context.Context, s *launcher.System, w io.Writer) error {
 	v, err := Publish(ctx, s.Hosts[0], "demo-1", 0, launcher.Rules(launcher.DefaultTargets))
 	if err != nil {
--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -319,6 +320,23 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// SetFaults sets the switches of a stand-in, which are at path, by JSON.
+func (p *Process) SetFaults(ctx context.Context, path, faults string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s%s", p.Address, path), strings.NewReader(faults))
+	if err != nil {
+		return errorx.Decorate(err, "launcher: unable to set faults of %s", p.Name)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errorx.Decorate(err, "launcher: unable to set faults of %s", p.Name)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errorx.ExternalError.New("launcher: unable to set faults of %s: %s", p.Name, resp.Status)
+	}
+	return nil
+}
+
 // Find returns the process of a name, nil if there is none.
 func (s *System) Find(name string) *Process {
 	s.mu.Lock()
--- a/lab/launcher/rules.go
+++ b/lab/launcher/rules.go
@@ -5,20 +5,15 @@
 	"fmt"
 	"strings"
 	"time"
-)
 
-// Targets are the latency targets of a launched system.
-type Targets struct {
-	Start  time.Duration
-	Finish time.Duration
-	Lookup time.Duration
-}
+	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+)
 
 // DefaultTargets are those of the demonstration.
-var DefaultTargets = Targets{Start: 390 * time.Millisecond, Finish: 3 * time.Second, Lookup: 200 * time.Millisecond}
+var DefaultTargets = loader.Targets{Start: 390 * time.Millisecond, Finish: 3 * time.Second, Lookup: 200 * time.Millisecond}
 
 // Rules returns a rule file for the pools of a launched system.
-func Rules(t Targets) string {
+func Rules(t loader.Targets) string {
 	var b strings.Builder
 	line := func(format string, args ...any) { fmt.Fprintf(&b, format+" # lab: launched system\n", args...) }
 	line("pool prefill kind=prefill")
--- a/lab/measurer/faults.go
+++ b/lab/measurer/faults.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
@@ -42,24 +39,14 @@
 	}},
 	{name: "log out", change: unchanged, disturb: func(ctx context.Context, s *system, middle time.Duration) {
 		time.Sleep(middle / 2)
-		s.setLog(ctx, `{"outage":true}`)
+		_ = s.Log.SetFaults(ctx, "/v1/faults", `{"outage":true}`)
 		time.Sleep(middle)
-		s.setLog(ctx, `{"outage":false}`)
+		_ = s.Log.SetFaults(ctx, "/v1/faults", `{"outage":false}`)
 	}},
 	{name: "10% leave", change: func(s *loader.Shape) { s.Cancel = 0.1 }},
 	{name: "poison", change: func(s *loader.Shape) { s.Poison = s.Duration }},
 }
 
-func (s *system) setLog(ctx context.Context, faults string) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/v1/faults", s.Log.Address), strings.NewReader(faults))
-	if err != nil {
-		return
-	}
-	if resp, err := http.DefaultClient.Do(r); err == nil {
-		_ = resp.Body.Close()
-	}
-}
-
 // measureFaults runs each fault on a new system, for the own policy and for the best baseline.
 func measureFaults(ctx context.Context, o Options, d Deployment, w io.Writer) ([]Row, error) {
 	var rows []Row
--- a/lab/measurer/idle.go
+++ b/lab/measurer/idle.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/hornbeamspan/hornbeamspan/lab/demonstrator"
 	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 )
@@ -91,6 +93,9 @@
 		}
 		times := s.publications(ctx)
 		s.Stop()
+		if len(times) == 0 {
+			return errorx.IllegalState.New("measurer: unable to put any publication in force on all of %d hosts", n)
+		}
 		fmt.Fprintf(w, "| %d | %d | %s | %s |\n", n, len(times), times[len(times)/2].Round(100*time.Microsecond), times[len(times)-1].Round(100*time.Microsecond))
 	}
 	return nil
@@ -109,5 +114,5 @@
 		}
 	}
 	slices.Sort(times)
-	return append(times, make([]time.Duration, 1-min(1, len(times)))...)
+	return times
 }
--- a/lab/measurer/measurer.go
+++ b/lab/measurer/measurer.go
@@ -19,7 +19,6 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 	"github.com/hornbeamspan/hornbeamspan/lab/loader"
 	"github.com/hornbeamspan/hornbeamspan/transport/finder"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
 )
 
 // crashWord makes a prompt end the engines that run it.
@@ -84,7 +83,6 @@
 	*launcher.System
 	deployment Deployment
 	policy     string
-	rules      uint64
 }
 
 func start(ctx context.Context, o Options, d Deployment, policy string) (*system, error) {
@@ -92,30 +90,18 @@
 	if err != nil {
 		return nil, errorx.Decorate(err, "measurer: unable to make a folder for logs")
 	}
-	s, err := launcher.Start(ctx, launcher.Spec{
+	s, err := demonstrator.Launch(ctx, launcher.Spec{
 		Bin: o.Bin, Dir: dir, Hosts: o.Hosts, Zones: d.Zones,
 		Prefill: d.Fleet.Prefill, Decode: d.Fleet.Decode, Services: d.Services,
 		Args: map[string][]string{
 			"host":   {"--policy", policy, "--log-level", "warn"},
 			"engine": {"--crash-word", crashWord},
 		},
-	})
+	}, launcher.DefaultTargets)
 	if err != nil {
 		return nil, err
 	}
-	m := &system{System: s, deployment: d, policy: policy}
-	v, err := demonstrator.Publish(ctx, s.Hosts[0], "measure", 0, launcher.Rules(launcher.DefaultTargets))
-	if err == nil && v.Verdict != overseer.Accepted {
-		err = errorx.IllegalState.New("measurer: unable to publish the rules: %s", v.Reason)
-	}
-	if err == nil {
-		err = s.AwaitReady(ctx)
-	}
-	if err != nil {
-		s.Stop()
-		return nil, err
-	}
-	return m, nil
+	return &system{System: s, deployment: d, policy: policy}, nil
 }
 
 func (s *system) caller() *loader.Caller {
@@ -135,9 +121,7 @@
 
 // warm sends a load that is not counted.
 func (s *system) warm(ctx context.Context, o Options) {
-	t := launcher.DefaultTargets
-	targets := loader.Targets{Start: t.Start, Finish: t.Finish, Lookup: t.Lookup}
-	loader.Run(ctx, s.caller(), shape(s.deployment, o, warmLoad, warmSeed), targets, nil, io.Discard)
+	loader.Run(ctx, s.caller(), shape(s.deployment, o, warmLoad, warmSeed), launcher.DefaultTargets, nil, io.Discard)
 }
 
 func shape(d Deployment, o Options, load float64, seed uint64) loader.Shape {
@@ -151,18 +135,16 @@
 
 // run sends one load and returns its row. During it disturb may cause a fault.
 func (s *system) run(ctx context.Context, shape loader.Shape, load float64, fault string, disturb func(context.Context), w io.Writer) Row {
-	t := launcher.DefaultTargets
-	targets := loader.Targets{Start: t.Start, Finish: t.Finish, Lookup: t.Lookup}
 	row := Row{
 		Deployment: s.deployment.Name, Policy: s.policy, Load: load, Seed: shape.Seed, Fault: fault,
-		Oracle: loader.Oracle(loader.Trace(shape), s.deployment.Fleet, targets),
+		Oracle: loader.Oracle(loader.Trace(shape), s.deployment.Fleet, launcher.DefaultTargets),
 	}
 	before := s.usage(ctx)
 	begin := time.Now()
 	if disturb != nil {
 		go disturb(ctx)
 	}
-	row.Result = loader.Run(ctx, s.caller(), shape, targets, finder.New(s.HostList.Address), io.Discard)
+	row.Result = loader.Run(ctx, s.caller(), shape, launcher.DefaultTargets, finder.New(s.HostList.Address), io.Discard)
 	row.take(before, s.usage(ctx), time.Since(begin))
 	row.EnginesLost = s.enginesLost()
 	n := row.Result.Classes[loader.Summary]
--- a/scenarios/driver_test.go
+++ b/scenarios/driver_test.go
@@ -20,7 +20,6 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/inferrer"
 	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 	"github.com/hornbeamspan/hornbeamspan/lab/loader"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
 )
 
 type driverKey struct{}
@@ -31,7 +30,7 @@
 	dir    string
 	system *launcher.System
 	// targets are those of the published rules.
-	targets launcher.Targets
+	targets loader.Targets
 	mu      sync.Mutex
 	jobs    map[string]chan string
 }
@@ -128,14 +127,8 @@
 			return "", err
 		}
 	}
-	if d.system, err = launcher.Start(d.ctx, s); err != nil {
-		return "", err
-	}
-	v, err := demonstrator.Publish(d.ctx, d.system.Hosts[0], "first", 0, launcher.Rules(d.targets))
-	if err != nil || v.Verdict != overseer.Accepted {
-		return "", fmt.Errorf("first rules: %+v, %w", v, err)
-	}
-	return "ready", d.system.AwaitReady(d.ctx)
+	d.system, err = demonstrator.Launch(d.ctx, s, d.targets)
+	return "ready", err
 }
 
 // addHost starts one more host: host NAME --flag…
@@ -195,19 +188,7 @@
 	if strings.HasPrefix(words[0], "desk") {
 		path = "/lab/faults"
 	}
-	r, err := http.NewRequestWithContext(d.ctx, http.MethodPut, fmt.Sprintf("http://%s%s", d.system.Find(words[0]).Address, path), strings.NewReader(words[1]))
-	if err != nil {
-		return "", err
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return "", fmt.Errorf("status %s", resp.Status)
-	}
-	return "set", nil
+	return "set", d.system.Find(words[0]).SetFaults(d.ctx, path, words[1])
 }
 
 // publish publishes the lab's rules with one more line: publish HOST ID BASE LINE…
@@ -333,9 +314,8 @@
 		Summaries: float64(o.number("summaries", 5)), Lookups: float64(o.number("lookups", 20)), Onces: float64(o.number("onces", 5)),
 		Prompt: 200, Output: o.number("tokens", 40),
 	}
-	t := d.targets
 	c := loader.NewCaller(seeds, launcher.Token, "writer", "desk")
-	r := loader.Run(d.ctx, c, shape, loader.Targets{Start: t.Start, Finish: t.Finish, Lookup: t.Lookup}, nil, &bytes.Buffer{})
+	r := loader.Run(d.ctx, c, shape, d.targets, nil, &bytes.Buffer{})
 	var b strings.Builder
 	for _, class := range loader.Classes {
 		n := r.Classes[class]
--- a/transport/generator/generator.go
+++ b/transport/generator/generator.go
@@ -119,6 +119,7 @@
 		budget:     limiter.Budget{Ratio: retryRatio, Reserve: retryReserve},
 		quarantine: quarantiner.New(quarantineAge),
 		prefixes:   sharder.New[cachedPrefix, int](hashPrefix),
+		times:      times{handover: firstHandover, step: firstStep},
 		policies:   make(map[string]balancer.Policy[watcher.Endpoint]),
 		suspects:   sharder.New[string, chan struct{}](xxhash.Sum64String),
 	}
--- a/transport/generator/route.go
+++ b/transport/generator/route.go
@@ -65,9 +65,7 @@
 		if r.place.Granted && (ok || f.tries > 0) {
 			return nil
 		}
-		if r.place.Granted {
-			r.place.Give()
-		}
+		r.place.Give()
 		late = after
 	}
 	return overloaded("prefill_full", fmt.Sprintf("the first token would come after %s", r.estimate.Start().Round(time.Millisecond)), late)
--- a/transport/generator/times.go
+++ b/transport/generator/times.go
@@ -33,37 +33,34 @@
 	step     time.Duration
 }
 
-func learn(old, seen, first time.Duration) time.Duration {
-	if old == 0 {
-		old = first
-	}
+func learn(old, seen time.Duration) time.Duration {
 	return old + time.Duration(timeWeight*float64(seen-old))
 }
 
 func (g *Generator) learnHandover(d time.Duration) {
 	g.times.mu.Lock()
 	defer g.times.mu.Unlock()
-	g.times.handover = learn(g.times.handover, d, firstHandover)
+	g.times.handover = learn(g.times.handover, d)
 }
 
 func (g *Generator) learnStep(d time.Duration) {
 	g.times.mu.Lock()
 	defer g.times.mu.Unlock()
-	g.times.step = learn(g.times.step, d, firstStep)
+	g.times.step = learn(g.times.step, d)
 }
 
 // handover is the time from the end of a prefill to the first token.
 func (g *Generator) handover() time.Duration {
 	g.times.mu.Lock()
 	defer g.times.mu.Unlock()
-	return learn(g.times.handover, g.times.handover, firstHandover)
+	return g.times.handover
 }
 
 // step is the time per output token.
 func (g *Generator) step() time.Duration {
 	g.times.mu.Lock()
 	defer g.times.mu.Unlock()
-	return learn(g.times.step, g.times.step, firstStep)
+	return g.times.step
 }
 
 // learnPrefix notes how many tokens of a prefix an engine has cached. Once maxPrefixes are known, all are forgotten.
--- a/transport/reserver/place.go
+++ b/transport/reserver/place.go
@@ -32,7 +32,7 @@
 	owner, own := r.options.Hosts.Home("engine/" + engine)
 	if own {
 		wait, ok := r.enqueue(engine, work, latest)
-		return &Place{Granted: ok, Wait: wait, Asked: true, give: func() { r.dequeue(engine, work) }}
+		return asked(ok, wait, func() { r.dequeue(engine, work) })
 	}
 	if r.isSilent(owner.Name) {
 		return &Place{Granted: true}
@@ -49,7 +49,15 @@
 		tell := wire.QueueGive{Engine: engine, Work: ask.Work}
 		_ = messenger.Tell(context.Background(), r.options.Messenger, owner.Address, kindGive, tell)
 	}
-	return &Place{Granted: answer.Granted, Wait: time.Duration(answer.Wait) * time.Microsecond, Asked: true, give: give}
+	return asked(answer.Granted, time.Duration(answer.Wait)*time.Microsecond, give)
+}
+
+// asked returns the owner's answer. A place that was refused has nothing to give back.
+func asked(granted bool, wait time.Duration, give func()) *Place {
+	if !granted {
+		give = nil
+	}
+	return &Place{Granted: granted, Wait: wait, Asked: true, give: give}
 }
 
 func (r *Reserver) enqueue(engine string, work time.Duration, latest time.Time) (time.Duration, bool) {
