Serve the platform's routes on a thin whole path

Cause: the product could not be reached on the users' platform at all. Change: platform/ decodes settings, store, headers and engine calls; router forwards calls, streams and generations (hold, prefill, decode); enlister and tailer follow the store; configurer keeps the newest routes; the gossiper passes any versioned file on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	}
 	reader := addOptions(root)
 	root.RunE = func(*cobra.Command, []string) error { return run(reader) }
+	root.AddCommand(platformCommand())
 	root.AddCommand(&cobra.Command{
 		Use:   "version",
 		Short: "Print the version",
--- /dev/null
+++ b/parts/coordination/limiter/window.go
@@ -0,0 +1,47 @@
+package limiter
+
+import "time"
+
+// parts is the number of steps in which a window moves on.
+const parts = 20
+
+// Window allows extra sends in proportion to requests over a sliding time. It is not safe for concurrent use.
+type Window struct {
+	// Span is the length of the window.
+	Span time.Duration
+	// Ratio is the number of extra sends that each request in the window pays for.
+	Ratio float64
+
+	requests [parts]float64
+	extras   [parts]float64
+	step     int64
+}
+
+// advance empties the steps that have left the window.
+func (w *Window) advance(now time.Time) int {
+	step := now.UnixNano() / int64(w.Span/(parts-1))
+	for i := max(w.step+1, step-parts+1); i <= step; i++ {
+		w.requests[i%parts] = 0
+		w.extras[i%parts] = 0
+	}
+	w.step = max(w.step, step)
+	return int(w.step % parts)
+}
+
+// Request counts a request.
+func (w *Window) Request(now time.Time) { w.requests[w.advance(now)]++ }
+
+// Extra takes one extra send if the window has room for it; slack is what it allows besides the ratio.
+func (w *Window) Extra(now time.Time, slack float64) bool {
+	at := w.advance(now)
+	requests, extras := 0.0, 0.0
+	for i := range parts {
+		requests += w.requests[i]
+		extras += w.extras[i]
+	}
+	if extras+1 > w.Ratio*requests+slack {
+		return false
+	}
+	w.extras[at]++
+	return true
+}
--- /dev/null
+++ b/transport/assembler/routing.go
@@ -0,0 +1,258 @@
+package assembler
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/hornbeamspan/hornbeamspan/internal/version"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/transport/configurer"
+	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/listener"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/meter"
+	"github.com/hornbeamspan/hornbeamspan/transport/router"
+	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+)
+
+// Topics names what a routing host follows in the platform's store.
+type Topics struct {
+	Config    string
+	ConfigKey string
+	Endpoints string
+}
+
+// RoutingConfig is the checked configuration of a host whose routes come from the platform's store.
+type RoutingConfig struct {
+	Name       string
+	DataCentre string
+	Callers    netip.AddrPort
+	Ready      netip.AddrPort
+	Directory  netip.AddrPort
+	Peers      netip.AddrPort
+	Operators  netip.AddrPort
+	Seeds      []netip.AddrPort
+	PeerKey    string
+
+	Store          tailer.Log
+	Topics         Topics
+	DecodeTable    func([]byte) (*matcher.Table, error)
+	DecodeEndpoint enlister.Decode
+	Dialect        router.Dialect
+	Engines        router.Engines
+	ReadyRoute     func(isReady func() bool) rest.Route
+	DirectoryRoute func(choose func(dataCentre string) []netip.AddrPort, lifetime time.Duration) rest.Route
+
+	// Grace is the time from a stop to the end of the process.
+	Grace time.Duration
+	// ApplyTime is how soon a configuration or a leaving endpoint must be followed.
+	ApplyTime time.Duration
+	// ContactTime is how long a silent host may contradict before it is held for dead.
+	ContactTime time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+const (
+	// lifetimeShare is the part of the grace time that callers keep addresses; some keep them three times as long.
+	lifetimeShare = 0.25
+	// refuseShare is the part of the grace time after which new streams are refused: they would be cut off.
+	refuseShare = 0.35
+	// exitShare is the part of the grace time after which the host ends whatever is in flight.
+	exitShare = 0.95
+	// configWait is how long one read waits for a configuration.
+	configWait = 10 * time.Second
+	// routingPeriod is the time between heartbeats of a routing host.
+	routingPeriod = 500 * time.Millisecond
+	// maxAddresses is how many addresses callers are told.
+	maxAddresses = 64
+	// drainPoll is the time between two looks at the requests in flight.
+	drainPoll = 20 * time.Millisecond
+)
+
+// RoutingHost is a running host whose routes come from the platform's store.
+type RoutingHost struct {
+	cfg       RoutingConfig
+	logs      hclog.Logger
+	clock     clockwork.Clock
+	meter     *meter.Meter
+	messenger *messenger.Messenger
+	config    *configurer.Configurer
+	gossiper  *gossiper.Gossiper
+	endpoints *enlister.Enlister
+	router    *router.Router
+	listeners []*listener.Listener
+	front     *listener.Listener
+	draining  atomic.Bool
+	mostHosts atomic.Int64
+	stop      context.CancelFunc
+	wait      sync.WaitGroup
+	done      chan struct{}
+}
+
+// StartRouting builds the parts, listens and runs.
+func StartRouting(cfg RoutingConfig, clock clockwork.Clock, logs hclog.Logger) (*RoutingHost, error) {
+	h := &RoutingHost{cfg: cfg, logs: logs, clock: clock, meter: meter.New("hornbeamspan"), done: make(chan struct{})}
+	h.messenger = messenger.New(cfg.PeerKey, logs, h.meter.Scope)
+	h.endpoints = enlister.New(cfg.DecodeEndpoint, clock, logs)
+	incarnation := uint64(clock.Now().UnixNano())
+	h.router = router.New(router.Options{
+		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints,
+		Hosts: h.sharers, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
+		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
+	})
+	h.config = configurer.New(configurer.Options{
+		Key: cfg.Topics.ConfigKey, Decode: cfg.DecodeTable, Apply: h.router.SetTable, Logs: logs,
+	})
+	h.gossiper = gossiper.New(gossiper.Options{
+		Self: tracker.Member{
+			Name: cfg.Name, Address: cfg.Peers, Callers: cfg.Callers, DataCentre: cfg.DataCentre, Incarnation: incarnation,
+		},
+		Seeds: cfg.Seeds,
+		Config: tracker.Config{
+			Period: routingPeriod, AnswerTimeout: time.Duration(answerTimeout * float64(routingPeriod)),
+			SuspicionTimeout: cfg.ContactTime, Retention: retention, Updates: updates,
+		},
+		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation), Logs: logs,
+	})
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	h.run()
+	eventer.Info(logs, eventer.Started, "host", cfg.Name, "version", version.Version, "callers", cfg.Callers, "peers", cfg.Peers,
+		"operators", cfg.Operators, "zone", cfg.DataCentre)
+	return h, nil
+}
+
+func (h *RoutingHost) random(part string, incarnation uint64) *rand.Rand {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(h.cfg.Name + "/" + part))
+	return rand.New(rand.NewPCG(incarnation, f.Sum64()))
+}
+
+// sharers returns the most hosts that this one has ever seen serving at once: a host that is cut off must not take the
+// budget of those it no longer sees.
+func (h *RoutingHost) sharers() int {
+	n := int64(len(h.gossiper.Serving()))
+	for {
+		most := h.mostHosts.Load()
+		if n <= most || h.mostHosts.CompareAndSwap(most, n) {
+			return int(max(n, most))
+		}
+	}
+}
+
+func (h *RoutingHost) listen() error {
+	cfg := h.cfg
+	for _, o := range []listener.Options{
+		{Name: "peers", Address: cfg.Peers, Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: h.messenger.Accept}}},
+		{Name: "operators", Address: cfg.Operators, Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: h.meter.Handler.ServeHTTP}}},
+		{Name: "ready", Address: cfg.Ready, Routes: []rest.Route{cfg.ReadyRoute(h.IsReady)}},
+		{Name: "directory", Address: cfg.Directory, Routes: []rest.Route{cfg.DirectoryRoute(h.addresses, h.lifetime())}},
+		{Name: "callers", Address: cfg.Callers, Subtrees: map[string]http.HandlerFunc{"": h.router.ServeHTTP}},
+	} {
+		l, err := listener.Listen(o)
+		if err != nil {
+			return err
+		}
+		h.listeners = append(h.listeners, l)
+		h.front = l
+	}
+	return nil
+}
+
+func (h *RoutingHost) lifetime() time.Duration {
+	return time.Duration(lifetimeShare * float64(h.cfg.Grace))
+}
+
+// IsReady tells whether new callers are welcome.
+func (h *RoutingHost) IsReady() bool {
+	select {
+	case <-h.endpoints.Ready():
+	default:
+		return false
+	}
+	return !h.draining.Load() && h.router.Table() != nil
+}
+
+// addresses returns the hosts that callers may use.
+func (h *RoutingHost) addresses(string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, m := range h.gossiper.Serving() {
+		list = append(list, m.Callers)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxAddresses)]
+}
+
+func (h *RoutingHost) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	config := tailer.New(tailer.Options{
+		Log: h.cfg.Store, Topic: h.cfg.Topics.Config, Sink: h.config, Wait: configWait, Clock: h.clock, Logs: h.logs,
+	})
+	pause := h.cfg.ApplyTime / 2
+	endpoints := tailer.New(tailer.Options{
+		Log: h.cfg.Store, Topic: h.cfg.Topics.Endpoints, Sink: h.endpoints, Wait: pause, Pause: pause,
+		Clock: h.clock, Logs: h.logs,
+	})
+	for _, part := range []func(context.Context){config.Run, endpoints.Run, h.gossiper.Run} {
+		h.wait.Go(func() { part(ctx) })
+	}
+}
+
+// Drain leaves the addresses given to callers, serves those who still come, and stops within the grace time.
+func (h *RoutingHost) Drain(ctx context.Context) {
+	begun := h.clock.Now()
+	h.draining.Store(true)
+	h.router.Drain()
+	eventer.Info(h.logs, eventer.Draining, "host", h.cfg.Name, "inflight", h.router.InFlight())
+	h.gossiper.Leave(ctx)
+	at := func(share float64) time.Time { return begun.Add(time.Duration(share * float64(h.cfg.Grace))) }
+	h.sleepUntil(ctx, at(refuseShare))
+	h.router.Refuse()
+	h.sleepUntil(ctx, at(3*lifetimeShare))
+	for h.router.InFlight() > 0 && h.clock.Now().Before(at(exitShare)) && ctx.Err() == nil {
+		h.sleepUntil(ctx, h.clock.Now().Add(drainPoll))
+	}
+	h.Close(ctx)
+}
+
+func (h *RoutingHost) sleepUntil(ctx context.Context, at time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-h.clock.After(at.Sub(h.clock.Now())):
+	}
+}
+
+// Close stops all parts.
+func (h *RoutingHost) Close(ctx context.Context) {
+	shutdown, cancel := context.WithTimeout(ctx, drainPoll)
+	_ = h.front.Shutdown(shutdown)
+	cancel()
+	h.stop()
+	for _, l := range h.listeners {
+		l.Close()
+	}
+	h.messenger.Close()
+	h.meter.Close()
+	eventer.Info(h.logs, eventer.Stopped, "host", h.cfg.Name, "inflight", h.router.InFlight())
+	close(h.done)
+}
+
+// Done is closed once the host has stopped.
+func (h *RoutingHost) Done() <-chan struct{} { return h.done }
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -20,6 +20,11 @@
 	ConnectTimeout = time.Second
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 30 * time.Second
+	// probeAfter and probePeriod are the times of keep-alive probes. A connection that went silent ends after three
+	// unanswered ones, sooner than most bounds on calls.
+	probeAfter  = time.Second
+	probePeriod = time.Second
+	probes      = 2
 	// idleConnections is how many unused connections to one endpoint are kept.
 	idleConnections = 64
 )
@@ -33,7 +38,7 @@
 func New(name string, tls *tls.Config) *Client {
 	return build(name, &http.Transport{
 		TLSClientConfig:     tls,
-		DialContext:         (&net.Dialer{Timeout: ConnectTimeout}).DialContext,
+		DialContext:         connect(),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
@@ -45,12 +50,19 @@
 func NewOnce(name string, tls *tls.Config) *Client {
 	return build(name, &http.Transport{
 		TLSClientConfig:    tls,
-		DialContext:        (&net.Dialer{Timeout: ConnectTimeout}).DialContext,
+		DialContext:        connect(),
 		DisableCompression: true,
 		DisableKeepAlives:  true,
 	})
 }
 
+func connect() func(context.Context, string, string) (net.Conn, error) {
+	return (&net.Dialer{
+		Timeout:         ConnectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probePeriod, Count: probes},
+	}).DialContext
+}
+
 func build(name string, t *http.Transport) *Client {
 	breaker.NoBreakerFor(name)
 	return &Client{service: httpc.NewServiceWithClient(name, &http.Client{
--- a/transport/enforcer/enforcer.go
+++ b/transport/enforcer/enforcer.go
@@ -123,6 +123,14 @@
 	}
 }
 
+// File returns the rule file in force; its version is 0 if there is none.
+func (e *Enforcer) File() publisher.File {
+	if current := e.Current(); current != nil {
+		return current.File
+	}
+	return publisher.File{}
+}
+
 // raise puts file in force if its version is higher than the one in force.
 func (e *Enforcer) raise(file publisher.File) bool {
 	e.mu.Lock()
--- /dev/null
+++ b/transport/enlister/enlister.go
@@ -0,0 +1,174 @@
+// Package enlister keeps the endpoints that announce themselves in the platform's store, with what calls to them show.
+package enlister
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+)
+
+// Endpoint is one incarnation of an endpoint.
+type Endpoint struct {
+	enroller.Endpoint
+	// Tokens is the memory that requests of this host have asked for at a model engine.
+	Tokens   atomic.Int64
+	inflight atomic.Int64
+	mu       sync.Mutex
+	health   ejector.Health
+}
+
+// InFlight returns the number of calls of this host under way.
+func (e *Endpoint) InFlight() int { return int(e.inflight.Load()) }
+
+// Begin counts a call until the returned function is called.
+func (e *Endpoint) Begin() func() {
+	e.inflight.Add(1)
+	return func() { e.inflight.Add(-1) }
+}
+
+// Judge changes or reads the endpoint's health under its lock.
+func (e *Endpoint) Judge(f func(*ejector.Health)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(&e.health)
+}
+
+// IsEjected tells whether the endpoint is left alone at now.
+func (e *Endpoint) IsEjected(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.health.IsEjected(now)
+}
+
+// Cost is the expected time of one more call.
+func (e *Endpoint) Cost(unknown time.Duration) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.health.Cost(e.InFlight(), unknown)
+}
+
+// Decode turns a record into an endpoint.
+type Decode func(id string, value []byte) (enroller.Endpoint, error)
+
+// Enlister follows the endpoints' topic.
+type Enlister struct {
+	decode  Decode
+	clock   clockwork.Clock
+	logs    hclog.Logger
+	mu      sync.Mutex
+	list    *enroller.Enroller
+	known   map[string]*Endpoint
+	byName  atomic.Pointer[map[string][]*Endpoint]
+	ready   chan struct{}
+	once    sync.Once
+	changed atomic.Int64
+}
+
+// New returns an empty list.
+func New(decode Decode, clock clockwork.Clock, logs hclog.Logger) *Enlister {
+	e := &Enlister{
+		decode: decode, clock: clock, logs: logs, list: enroller.New(),
+		known: make(map[string]*Endpoint), ready: make(chan struct{}),
+	}
+	e.byName.Store(&map[string][]*Endpoint{})
+	return e
+}
+
+// Ready is closed once the list has been read.
+func (e *Enlister) Ready() <-chan struct{} { return e.ready }
+
+// Service returns the endpoints of a service that do not leave.
+func (e *Enlister) Service(name string) []*Endpoint { return (*e.byName.Load())[name] }
+
+// Record takes one record of the topic.
+func (e *Enlister) Record(r tailer.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(r.Value) == 0 {
+		e.list.Remove(e.clock.Now(), r.Key, r.Offset)
+		e.rebuild(r.Offset)
+		return
+	}
+	ep, err := e.decode(r.Key, r.Value)
+	if err != nil {
+		eventer.Warn(e.logs, eventer.RecordDamaged, "offset", r.Offset, "key", r.Key, "error", err.Error())
+		e.list.Spoil(r.Key, r.Offset)
+		e.rebuild(r.Offset)
+		return
+	}
+	if e.list.Put(ep, r.Offset) {
+		e.rebuild(r.Offset)
+	}
+}
+
+// Listed takes out the endpoints that a full reading did not find.
+func (e *Enlister) Listed(keys map[string]bool, end uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.Retain(e.clock.Now(), keys, end)
+	e.rebuild(end)
+	e.once.Do(func() { close(e.ready) })
+}
+
+// Lost notes that the store is out of reach.
+func (e *Enlister) Lost(error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list.Lost()
+}
+
+// Regained notes that the store answers.
+func (e *Enlister) Regained() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	e.list.Regained(now)
+	if len(e.list.Expire(now)) > 0 {
+		e.rebuild(0)
+	}
+}
+
+// rebuild publishes the list anew and logs what changed. The caller holds mu.
+func (e *Enlister) rebuild(offset uint64) {
+	byName := make(map[string][]*Endpoint)
+	seen := make(map[string]bool)
+	for _, ep := range e.list.All() {
+		seen[ep.ID] = true
+		old := e.known[ep.ID]
+		next := e.follow(old, ep, offset)
+		e.known[ep.ID] = next
+		if !ep.Leaving {
+			byName[ep.Service] = append(byName[ep.Service], next)
+		}
+	}
+	for id, old := range e.known {
+		if !seen[id] {
+			delete(e.known, id)
+			eventer.Info(e.logs, eventer.EndpointGone, "endpoint", id, "service", old.Service, "offset", offset)
+		}
+	}
+	e.byName.Store(&byName)
+}
+
+// follow returns the endpoint for ep: the old one with its counts, unless it is another incarnation or has changed.
+func (e *Enlister) follow(old *Endpoint, ep enroller.Endpoint, offset uint64) *Endpoint {
+	if old != nil && old.Born.Equal(ep.Born) && old.Address == ep.Address && old.Service == ep.Service &&
+		old.Stage == ep.Stage && old.Leaving == ep.Leaving {
+		return old
+	}
+	next := &Endpoint{Endpoint: ep}
+	if old != nil && old.Born.Equal(ep.Born) && old.Address == ep.Address {
+		old.Judge(func(h *ejector.Health) { next.health = *h })
+	}
+	eventer.Info(e.logs, eventer.EndpointChanged, "endpoint", ep.ID, "service", ep.Service, "address", ep.Address,
+		"zone", ep.DataCentre, "stage", ep.Stage.String(), "leaving", ep.Leaving, "offset", offset)
+	return next
+}
--- a/transport/eventer/eventer.go
+++ b/transport/eventer/eventer.go
@@ -22,6 +22,7 @@
 	Stopped         = Event{103, "stopped"}
 	LibraryNote     = Event{105, "note of a library"}
 	LogUnreachable  = Event{201, "log unreachable"}
+	LogRegained     = Event{204, "log reached again"}
 	StreamExpired   = Event{202, "records expired before they were read"}
 	RecordDamaged   = Event{203, "record unreadable"}
 	RulesInForce    = Event{301, "rules in force"}
@@ -37,16 +38,26 @@
 	EndpointLeaving = Event{603, "endpoint leaving"}
 	Convicted       = Event{604, "request convicted"}
 	Reaped          = Event{605, "request of a silent host cancelled"}
+	EndpointChanged = Event{606, "endpoint listed"}
+	EndpointGone    = Event{607, "endpoint gone"}
+	StageOrdered    = Event{608, "engine ordered to another stage"}
+	DutyChanged     = Event{609, "duty of ordering engines changed"}
+	ReleaseFailed   = Event{610, "engine memory not released"}
 	AttemptFailed   = Event{701, "attempt failed"}
 	Superseded      = Event{702, "attempt superseded by a resend"}
+	RequestEnded    = Event{703, "request ended"}
+	SendFailed      = Event{704, "send failed"}
+	LinesDropped    = Event{106, "log lines dropped"}
+	Reloaded        = Event{107, "settings read again"}
 	AuditLost       = Event{801, "audit record not appended"}
 )
 
 // Events lists every event.
 var Events = []Event{
-	Started, Draining, Stopped, LibraryNote, LogUnreachable, StreamExpired, RecordDamaged,
+	Started, Draining, Stopped, LibraryNote, LogUnreachable, LogRegained, StreamExpired, RecordDamaged,
 	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
-	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, AttemptFailed, Superseded, AuditLost,
+	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, EndpointChanged, EndpointGone, StageOrdered,
+	DutyChanged, ReleaseFailed, AttemptFailed, Superseded, RequestEnded, SendFailed, LinesDropped, Reloaded, AuditLost,
 }
 
 // New returns a logger that writes lines to w, as JSON if json is set, and takes over go-zero's own log.
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -17,7 +17,6 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/enforcer"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
 )
@@ -29,13 +28,20 @@
 	kindAsk    = "version"
 )
 
+// Rules is the versioned file that hosts pass on to each other. The version is 0 before there is one.
+type Rules interface {
+	Version() uint64
+	File() publisher.File
+	Offer(publisher.File)
+}
+
 // Options are the settings of a Gossiper.
 type Options struct {
 	Self      tracker.Member
 	Seeds     []netip.AddrPort
 	Config    tracker.Config
 	Messenger *messenger.Messenger
-	Rules     *enforcer.Enforcer
+	Rules     Rules
 	Random    *rand.Rand
 	Logs      hclog.Logger
 }
@@ -163,11 +169,10 @@
 
 // push sends the rule file to a host that has an older one, so that rules spread while the log is out.
 func (g *Gossiper) push(ctx context.Context, m tracker.Message) {
-	current := g.options.Rules.Current()
-	if current == nil || m.Rules >= current.File.Version {
+	f := g.options.Rules.File()
+	if m.Rules >= f.Version {
 		return
 	}
-	f := current.File
 	_ = messenger.Tell(ctx, g.options.Messenger, m.From.Address, kindRules, wire.RulesPush{Version: f.Version, Text: f.Text, Author: f.Author})
 }
 
--- /dev/null
+++ b/transport/router/send.go
@@ -0,0 +1,173 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
+	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+)
+
+// maxAnswer bounds the bytes of an answer that is passed on whole.
+const maxAnswer = 16 << 20
+
+// Outcome is what is known of a send that brought no answer to pass on.
+type Outcome uint8
+
+// The outcomes, by what the caller may be told.
+const (
+	// NotSent means that no byte can have reached the endpoint.
+	NotSent Outcome = iota
+	// NotRun means that the endpoint promises not to have run the request.
+	NotRun
+	// Unknown means that the request may have run.
+	Unknown
+)
+
+// SendError reports a send without an answer to pass on.
+type SendError struct {
+	Endpoint string
+	Outcome  Outcome
+	Reason   string
+}
+
+func (e *SendError) Error() string {
+	return fmt.Sprintf("router: unable to get an answer of %s: %s", e.Endpoint, e.Reason)
+}
+
+// outgoing returns the request for one send of a job.
+func (x *Router) outgoing(ctx context.Context, j *job, e *enlister.Endpoint, s Send) (*http.Request, error) {
+	r, err := dialer.Request(ctx, j.method, "http://"+e.Address.String()+"/", bytes.NewReader(j.body), int64(len(j.body)))
+	if err != nil {
+		return nil, err
+	}
+	r.URL = &url.URL{Scheme: "http", Host: e.Address.String(), Opaque: j.target}
+	r.Host = j.host
+	r.Header = j.header.Clone()
+	dropHopByHop(r.Header)
+	for name := range r.Header {
+		if x.Dialect.IsOwn(name) {
+			r.Header.Del(name)
+		}
+	}
+	if r.Header.Get("User-Agent") == "" {
+		r.Header.Set("User-Agent", "") // keeps the client from adding its own
+	}
+	s.Endpoint = e.ID
+	s.Deadline = j.left(x.Clock.Now())
+	x.Dialect.Send(r.Header, s)
+	return r, nil
+}
+
+// open sends a job to e and returns the answer once its headers are there and belong to the request. The error is a
+// *SendError.
+func (x *Router) open(ctx context.Context, j *job, e *enlister.Endpoint, s Send) (*http.Response, error) {
+	r, err := x.outgoing(ctx, j, e, s)
+	if err != nil {
+		return nil, &SendError{Endpoint: e.ID, Outcome: NotSent, Reason: err.Error()}
+	}
+	resp, sent, err := x.client.Do(r)
+	if err != nil {
+		return nil, x.failed(ctx, j, e, sent, err)
+	}
+	a := x.Dialect.Answer(resp)
+	if a.NotRun {
+		_ = resp.Body.Close()
+		reason := fmt.Sprintf("refused with %d", resp.StatusCode)
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			e.Judge(func(h *ejector.Health) { h.Refused(x.Clock.Now()) })
+			reason = "another endpoint has the address"
+		}
+		x.logSend(j, e, "not run", reason)
+		return nil, &SendError{Endpoint: e.ID, Outcome: NotRun, Reason: reason}
+	}
+	if a.ID != j.request.ID {
+		_ = resp.Body.Close()
+		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
+		x.logSend(j, e, "unknown", "the answer belongs to another request")
+		return nil, &SendError{Endpoint: e.ID, Outcome: Unknown, Reason: "the answer belongs to another request"}
+	}
+	return resp, nil
+}
+
+// failed judges a send that brought no headers.
+func (x *Router) failed(ctx context.Context, j *job, e *enlister.Endpoint, sent bool, err error) error {
+	f := &SendError{Endpoint: e.ID, Outcome: NotSent, Reason: err.Error()}
+	if sent {
+		f.Outcome = Unknown
+	}
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		e.Judge(func(h *ejector.Health) {
+			if sent {
+				h.Failed(x.Clock.Now())
+				return
+			}
+			h.Refused(x.Clock.Now())
+		})
+	}
+	x.logSend(j, e, [...]string{"not sent", "not run", "unknown"}[f.Outcome], f.Reason)
+	return f
+}
+
+func (x *Router) logSend(j *job, e *enlister.Endpoint, outcome, reason string) {
+	eventer.Warn(x.Logs, eventer.SendFailed, "request", j.request.ID, "endpoint", e.ID, "service", e.Service,
+		"stage", e.Stage.String(), "outcome", outcome, "reason", reason, "sends", j.sends)
+}
+
+// whole reads an answer to its end. The error is a *SendError: a part of an answer is none.
+func (x *Router) whole(j *job, e *enlister.Endpoint, resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errors.New("the answer is too long")
+	}
+	if err != nil {
+		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
+		x.logSend(j, e, "unknown", err.Error())
+		return nil, &SendError{Endpoint: e.ID, Outcome: Unknown, Reason: err.Error()}
+	}
+	return body, nil
+}
+
+// exchange sends a job to e and returns its whole answer.
+func (x *Router) exchange(ctx context.Context, j *job, e *enlister.Endpoint, s Send) (*http.Response, []byte, error) {
+	defer e.Begin()()
+	begun := x.Clock.Now()
+	resp, err := x.open(ctx, j, e, s)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := x.whole(j, e, resp)
+	if err != nil {
+		return nil, nil, err
+	}
+	x.judge(e, resp.StatusCode, x.Clock.Now().Sub(begun))
+	return resp, body, nil
+}
+
+func (x *Router) judge(e *enlister.Endpoint, status int, took time.Duration) {
+	e.Judge(func(h *ejector.Health) {
+		if status >= http.StatusInternalServerError {
+			h.Answered(took)
+			return
+		}
+		h.Succeeded(took)
+	})
+}
+
+// copyHeader passes an endpoint's headers on.
+func copyHeader(w http.ResponseWriter, resp *http.Response) {
+	h := resp.Header.Clone()
+	dropHopByHop(h)
+	for name, values := range h {
+		w.Header()[name] = values
+	}
+}
--- /dev/null
+++ b/transport/tailer/tailer.go
@@ -0,0 +1,183 @@
+// Package tailer follows a topic of a log that keeps the newest record of each key.
+package tailer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+)
+
+const (
+	// retryPause is the first pause after a failed call; it doubles up to maxRetryPause.
+	retryPause    = 200 * time.Millisecond
+	maxRetryPause = time.Second
+)
+
+// Record is one record of a keyed topic. An empty Value removes the key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// Page is a part of the newest records of all keys. Pages are not a snapshot.
+type Page struct {
+	Records []Record
+	More    bool
+	// End is the offset after the last record of the topic.
+	End uint64
+}
+
+// Log is a store with keyed topics.
+type Log interface {
+	// Newest returns the newest record of each key after the key after.
+	Newest(ctx context.Context, topic, after string) (Page, error)
+	// Read returns the records from an offset on as soon as there are any, or none after wait.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]Record, error)
+}
+
+// ExpiredError reports that records were deleted before they were read.
+type ExpiredError struct {
+	Topic string
+}
+
+func (e *ExpiredError) Error() string { return "tailer: records of " + e.Topic + " expired unread" }
+
+// Sink takes what was read. Its methods are called by one goroutine.
+type Sink interface {
+	// Record takes one record.
+	Record(r Record)
+	// Listed tells the keys that a full reading up to end has found.
+	Listed(keys map[string]bool, end uint64)
+	// Lost and Regained tell whether the store can be reached.
+	Lost(err error)
+	Regained()
+}
+
+// Options are the settings of a Tailer.
+type Options struct {
+	Log   Log
+	Topic string
+	Sink  Sink
+	// Wait is how long a call waits for records; 0 asks at once.
+	Wait time.Duration
+	// Pause is the time between two calls.
+	Pause time.Duration
+	Clock clockwork.Clock
+	Logs  hclog.Logger
+}
+
+// Tailer follows one topic.
+type Tailer struct {
+	options Options
+	from    uint64
+	listed  bool
+	lost    bool
+	done    chan struct{}
+}
+
+// New returns a Tailer.
+func New(o Options) *Tailer { return &Tailer{options: o, done: make(chan struct{})} }
+
+// Done is closed once Run has returned.
+func (t *Tailer) Done() <-chan struct{} { return t.done }
+
+// Run follows the topic until ctx ends.
+func (t *Tailer) Run(ctx context.Context) {
+	defer close(t.done)
+	pause := retryPause
+	for ctx.Err() == nil {
+		err := t.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			t.note(nil)
+			pause = retryPause
+			t.sleep(ctx, t.options.Pause)
+			continue
+		}
+		var expired *ExpiredError
+		if errors.As(err, &expired) {
+			eventer.Warn(t.options.Logs, eventer.StreamExpired, "stream", t.options.Topic, "from", t.from)
+			t.listed = false
+			continue
+		}
+		t.note(err)
+		t.sleep(ctx, pause)
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+func (t *Tailer) step(ctx context.Context) error {
+	if !t.listed {
+		return t.list(ctx)
+	}
+	records, err := t.options.Log.Read(ctx, t.options.Topic, t.from, t.options.Wait)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		t.options.Sink.Record(r)
+		t.from = r.Offset + 1
+	}
+	return nil
+}
+
+// list reads the newest record of every key, then has reading go on from the end that the first page told.
+func (t *Tailer) list(ctx context.Context) error {
+	keys := make(map[string]bool)
+	after, end, first := "", uint64(0), true
+	for {
+		page, err := t.options.Log.Newest(ctx, t.options.Topic, after)
+		if err != nil {
+			return err
+		}
+		if first {
+			end, first = page.End, false
+		}
+		for _, r := range page.Records {
+			keys[r.Key] = true
+			after = r.Key
+			t.options.Sink.Record(r)
+		}
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+	}
+	t.from = end
+	t.listed = true
+	t.options.Sink.Listed(keys, end)
+	return nil
+}
+
+func (t *Tailer) note(err error) {
+	if err == nil {
+		if t.lost {
+			eventer.Info(t.options.Logs, eventer.LogRegained, "stream", t.options.Topic)
+		}
+		t.lost = false
+		t.options.Sink.Regained()
+		return
+	}
+	if !t.lost {
+		eventer.Warn(t.options.Logs, eventer.LogUnreachable, "stream", t.options.Topic, "error", err.Error())
+	}
+	t.lost = true
+	t.options.Sink.Lost(err)
+}
+
+func (t *Tailer) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-t.options.Clock.After(d):
+	}
+}
