--- a/parts/coordination/matcher/matcher.go
+++ b/parts/coordination/matcher/matcher.go
@@ -41,6 +41,8 @@
 	Timeout time.Duration
 	// Target is the time to a full answer, or to the first event of a stream.
 	Target time.Duration
+	// Patience is how long a caller waits for the next event of a stream; 0 if that is not known.
+	Patience time.Duration
 	// MaxPause is the longest pause between two events of a stream.
 	MaxPause time.Duration
 	// Priority is the rank of the route; 0 goes first.
--- /dev/null
+++ b/parts/coordination/packer/packer.go
@@ -0,0 +1,256 @@
+// Package packer decides which model engine has room for one more generation.
+//
+// A generation's memory grows until it ends, and generations end at different times. Reserving the longest output of
+// each leaves half of the memory idle; reserving the usual one has generations preempted. The packer predicts the
+// memory in use over the next seconds from what each generation has made so far, and takes one more only if the
+// highest point, with a margin for its spread, fits. It answers bursts in which memory binds and slots do not.
+package packer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// steps of stepLength are how far the use of memory is predicted.
+	steps      = 18
+	stepLength = 400 * time.Millisecond
+	// firstRate is the output of one run in tokens a second before any run has ended.
+	firstRate = 1000.0
+	// rateWeight is the part that the newest run has in the moving average of rates.
+	rateWeight = 0.2
+	// hintWeight is the part that the newest hint has in the moving average of hints.
+	hintWeight = 0.1
+	// settle is how long a run may be missing in an engine's reports after its start: reports lag.
+	settle = 3 * time.Second
+	// overdue is how many times its longest predicted life a run is kept without a word of its end.
+	overdue = 2
+	// least is the smallest conditional probability that is told apart from none.
+	least = 1e-3
+)
+
+// Job describes a generation. Numbers are of tokens; Hint is 0 if the caller gives none.
+type Job struct {
+	ID        string
+	Prompt    int
+	Hint      int
+	MaxOutput int
+}
+
+type run struct {
+	Job
+	begins time.Time
+	// hint is the expected output that ratios refer to.
+	hint float64
+}
+
+// Observed is a run in an engine's report.
+type Observed struct {
+	ID string
+	// Tokens is the memory in use, Events the number of events made.
+	Tokens int
+	Events int
+}
+
+type engine struct {
+	memory int
+	slots  int
+	rate   float64
+	runs   map[string]*run
+}
+
+// Packer counts the memory of the engines of one service. It is not safe for concurrent use.
+type Packer struct {
+	confidence float64
+	ratios     *Ratios
+	hint       float64
+	engines    map[string]*engine
+	places     map[string]string
+}
+
+// New returns a Packer that keeps confidence standard deviations of the predicted use free.
+func New(confidence float64) *Packer {
+	return &Packer{
+		confidence: confidence, ratios: NewRatios(), engines: make(map[string]*engine), places: make(map[string]string),
+	}
+}
+
+// Resize tells the memory in tokens and the slots of an engine.
+func (p *Packer) Resize(name string, memory, slots int) {
+	e := p.engines[name]
+	if e == nil {
+		e = &engine{rate: firstRate, runs: make(map[string]*run)}
+		p.engines[name] = e
+	}
+	e.memory, e.slots = memory, slots
+}
+
+// Forget drops an engine with its runs.
+func (p *Packer) Forget(name string) {
+	if e := p.engines[name]; e != nil {
+		for id := range e.runs {
+			delete(p.places, id)
+		}
+		delete(p.engines, name)
+	}
+}
+
+// Engines returns the names of the engines that are counted.
+func (p *Packer) Engines() []string {
+	names := make([]string, 0, len(p.engines))
+	for name := range p.engines {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Runs returns the number of runs at an engine.
+func (p *Packer) Runs(name string) int {
+	if e := p.engines[name]; e != nil {
+		return len(e.runs)
+	}
+	return 0
+}
+
+// Peak returns the highest predicted share of an engine's memory if j began there at begins; above 1 it has no room.
+func (p *Packer) Peak(now time.Time, name string, j Job, begins time.Time) float64 {
+	e := p.engines[name]
+	if e == nil || e.memory <= 0 {
+		return math.Inf(1)
+	}
+	if len(e.runs) >= e.slots {
+		return math.Inf(1)
+	}
+	var mean, variance [steps]float64
+	for _, r := range e.runs {
+		p.predict(now, e, r, &mean, &variance)
+	}
+	p.predict(now, e, &run{Job: j, begins: begins, hint: p.expected(j)}, &mean, &variance)
+	highest := 0.0
+	for i := range mean {
+		highest = max(highest, mean[i]+p.confidence*math.Sqrt(variance[i]))
+	}
+	return highest / float64(e.memory)
+}
+
+// predict adds the use of one run at each step.
+func (p *Packer) predict(now time.Time, e *engine, r *run, mean, variance *[steps]float64) {
+	made := min(e.rate*max(0, now.Sub(r.begins).Seconds()), r.longest())
+	alive := max(p.survival(r, made), least)
+	for i := range steps {
+		at := now.Add(time.Duration(i) * stepLength)
+		output := max(made, e.rate*max(0, at.Sub(r.begins).Seconds()))
+		share := 1.0
+		if i > 0 {
+			share = min(1, p.survival(r, output)/alive)
+		}
+		use := float64(r.Prompt) + min(output, r.longest())
+		mean[i] += share * use
+		variance[i] += share * (1 - share) * use * use
+	}
+}
+
+func (r *run) longest() float64 {
+	if r.MaxOutput > 0 {
+		return float64(r.MaxOutput)
+	}
+	return 8 * r.hint
+}
+
+// survival returns the probability that a run makes more than output tokens.
+func (p *Packer) survival(r *run, output float64) float64 {
+	if output >= r.longest() {
+		return 0
+	}
+	return p.ratios.Survival(output / max(1, r.hint))
+}
+
+// expected returns the output that a job's ratio refers to: its hint, or the usual one.
+func (p *Packer) expected(j Job) float64 {
+	switch {
+	case j.Hint > 0:
+		return float64(j.Hint)
+	case p.hint > 0:
+		return p.hint
+	}
+	return float64(max(1, j.MaxOutput)) / 2
+}
+
+// Add counts a run at an engine from begins on.
+func (p *Packer) Add(name string, j Job, begins time.Time) {
+	e := p.engines[name]
+	if e == nil {
+		return
+	}
+	if j.Hint > 0 {
+		if p.hint == 0 {
+			p.hint = float64(j.Hint)
+		}
+		p.hint += hintWeight * (float64(j.Hint) - p.hint)
+	}
+	e.runs[j.ID] = &run{Job: j, begins: begins, hint: p.expected(j)}
+	p.places[j.ID] = name
+}
+
+// Began corrects when the output of a run began.
+func (p *Packer) Began(id string, at time.Time) {
+	if e := p.engines[p.places[id]]; e != nil && e.runs[id] != nil {
+		e.runs[id].begins = at
+	}
+}
+
+// Remove drops a run that did not come to its end.
+func (p *Packer) Remove(id string) {
+	if e := p.engines[p.places[id]]; e != nil {
+		delete(e.runs, id)
+	}
+	delete(p.places, id)
+}
+
+// Finished drops a run that came to its end and learns from it.
+func (p *Packer) Finished(id string, output int, took time.Duration) {
+	e := p.engines[p.places[id]]
+	if e == nil || e.runs[id] == nil {
+		return
+	}
+	if output > 0 {
+		p.ratios.Learn(float64(output) / max(1, e.runs[id].hint))
+	}
+	if took > 0 && output > 0 {
+		e.rate += rateWeight * (float64(output)/took.Seconds() - e.rate)
+	}
+	p.Remove(id)
+}
+
+// Observe takes an engine's report, with stride tokens in an event: runs of other hosts are counted, and runs that are gone are dropped.
+func (p *Packer) Observe(now time.Time, name string, stride int, seen []Observed) {
+	e := p.engines[name]
+	if e == nil {
+		return
+	}
+	present := make(map[string]bool, len(seen))
+	for _, o := range seen {
+		present[o.ID] = true
+		if e.runs[o.ID] == nil {
+			output := o.Events * stride
+			begun := now.Add(-time.Duration(float64(output) / e.rate * float64(time.Second)))
+			p.Add(name, Job{ID: o.ID, Prompt: max(0, o.Tokens-output)}, begun)
+		}
+	}
+	for id, r := range e.runs {
+		if !present[id] && now.Sub(r.begins) > settle {
+			p.Remove(id)
+		}
+	}
+}
+
+// Expire drops runs that must have ended long ago.
+func (p *Packer) Expire(now time.Time) {
+	for _, e := range p.engines {
+		for id, r := range e.runs {
+			if now.Sub(r.begins).Seconds() > overdue*r.longest()/e.rate+settle.Seconds() {
+				p.Remove(id)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/parts/coordination/packer/readers.go
@@ -0,0 +1,114 @@
+package packer
+
+import "time"
+
+const (
+	// firstSpeed is the number of prompt tokens that an engine reads in a second before it has read any.
+	firstSpeed = 20000.0
+	// speedWeight is the part that the newest prompt has in the moving average of speeds.
+	speedWeight = 0.3
+	// lostAfter is how long a prompt may be under way before it counts as lost.
+	lostAfter = 3 * time.Second
+)
+
+type reading struct {
+	tokens int
+	at     time.Time
+}
+
+type reader struct {
+	speed float64
+	last  time.Time
+	open  map[string]reading
+}
+
+// Readers counts the prompts under way at the engines that read prompts. It is not safe for concurrent use.
+type Readers struct {
+	engines map[string]*reader
+	places  map[string]string
+}
+
+// NewReaders returns an empty count.
+func NewReaders() *Readers {
+	return &Readers{engines: make(map[string]*reader), places: make(map[string]string)}
+}
+
+func (s *Readers) engine(name string) *reader {
+	r := s.engines[name]
+	if r == nil {
+		r = &reader{speed: firstSpeed, open: make(map[string]reading)}
+		s.engines[name] = r
+	}
+	return r
+}
+
+// Backlog returns how long an engine will be busy with the prompts it has.
+func (s *Readers) Backlog(now time.Time, name string) time.Duration {
+	r := s.engine(name)
+	tokens := 0
+	oldest := now
+	for id, o := range r.open {
+		if now.Sub(o.at) > lostAfter {
+			delete(r.open, id)
+			delete(s.places, id)
+			continue
+		}
+		tokens += o.tokens
+		if o.at.Before(oldest) {
+			oldest = o.at
+		}
+	}
+	if tokens == 0 {
+		return 0
+	}
+	begun := r.last
+	if oldest.After(begun) {
+		begun = oldest
+	}
+	left := time.Duration(float64(tokens)/r.speed*float64(time.Second)) - now.Sub(begun)
+	return max(left, 0)
+}
+
+// Time returns how long an engine takes to read a prompt.
+func (s *Readers) Time(name string, tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.engine(name).speed * float64(time.Second))
+}
+
+// Speed returns the prompt tokens that an engine reads in a second.
+func (s *Readers) Speed(name string) float64 { return s.engine(name).speed }
+
+// Assign counts a prompt.
+func (s *Readers) Assign(now time.Time, name, id string, tokens int) {
+	s.engine(name).open[id] = reading{tokens: tokens, at: now}
+	s.places[id] = name
+}
+
+// Done drops a prompt that was read and learns how fast.
+func (s *Readers) Done(now time.Time, id string) {
+	name := s.places[id]
+	r := s.engines[name]
+	if r == nil {
+		return
+	}
+	o, ok := r.open[id]
+	s.Drop(id)
+	if !ok {
+		return
+	}
+	begun := o.at
+	if r.last.After(begun) {
+		begun = r.last
+	}
+	r.last = now
+	if took := now.Sub(begun).Seconds(); took > 0 {
+		r.speed += speedWeight * (float64(o.tokens)/took - r.speed)
+	}
+}
+
+// Drop forgets a prompt that was not read.
+func (s *Readers) Drop(id string) {
+	if r := s.engines[s.places[id]]; r != nil {
+		delete(r.open, id)
+	}
+	delete(s.places, id)
+}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -349,6 +349,84 @@
 	Point *OncePoint `json:"point,omitempty,omitzero"`
 }
 
+// PlaceAnswer answers a PlaceAsk: placed, still waiting, or refused with a time to
+// come back. Times are in milliseconds from now.
+type PlaceAnswer struct {
+	// Engine corresponds to the JSON schema field "engine".
+	Engine string `json:"engine"`
+
+	// Hold corresponds to the JSON schema field "hold".
+	Hold string `json:"hold"`
+
+	// Reader corresponds to the JSON schema field "reader".
+	Reader string `json:"reader"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason"`
+
+	// State corresponds to the JSON schema field "state".
+	State int `json:"state"`
+
+	// Until corresponds to the JSON schema field "until".
+	Until int `json:"until"`
+
+	// Wait corresponds to the JSON schema field "wait".
+	Wait int `json:"wait"`
+}
+
+// PlaceAsk asks the dispatcher of a service for a place at its engines. Times are
+// in milliseconds from now, numbers in tokens.
+type PlaceAsk struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Hint corresponds to the JSON schema field "hint".
+	Hint int `json:"hint"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Latest corresponds to the JSON schema field "latest".
+	Latest int `json:"latest"`
+
+	// Max corresponds to the JSON schema field "max".
+	Max int `json:"max"`
+
+	// Ontime corresponds to the JSON schema field "ontime".
+	Ontime int `json:"ontime"`
+
+	// Prompt corresponds to the JSON schema field "prompt".
+	Prompt int `json:"prompt"`
+
+	// Rank corresponds to the JSON schema field "rank".
+	Rank int `json:"rank"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+}
+
+// PlaceTell tells a dispatcher how far a generation is: its prompt is read, its
+// output began or it has ended.
+type PlaceTell struct {
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Output corresponds to the JSON schema field "output".
+	Output int `json:"output"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step"`
+
+	// Took corresponds to the JSON schema field "took".
+	Took int `json:"took"`
+}
+
 // Publication asks for a change of the rule file.
 type Publication struct {
 	// Author corresponds to the JSON schema field "author".
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/transport/configurer"
+	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
@@ -52,7 +53,7 @@
 	DecodeTable    func([]byte) (*matcher.Table, error)
 	DecodeEndpoint enlister.Decode
 	Dialect        router.Dialect
-	Engines        router.Engines
+	Engines        dispatcher.Engines
 	ReadyRoute     func(isReady func() bool) rest.Route
 	DirectoryRoute func(choose func(dataCentre string) []netip.AddrPort, lifetime time.Duration) rest.Route
 
@@ -110,13 +111,8 @@
 	h.messenger = messenger.New(cfg.PeerKey, logs, h.meter.Scope)
 	h.endpoints = enlister.New(cfg.DecodeEndpoint, clock, logs)
 	incarnation := uint64(clock.Now().UnixNano())
-	h.router = router.New(router.Options{
-		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints,
-		Hosts: h.sharers, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
-		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
-	})
 	h.config = configurer.New(configurer.Options{
-		Key: cfg.Topics.ConfigKey, Decode: cfg.DecodeTable, Apply: h.router.SetTable, Logs: logs,
+		Key: cfg.Topics.ConfigKey, Decode: cfg.DecodeTable, Apply: func(t *matcher.Table) bool { return h.router.SetTable(t) }, Logs: logs,
 	})
 	h.gossiper = gossiper.New(gossiper.Options{
 		Self: tracker.Member{
@@ -129,6 +125,15 @@
 		},
 		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation), Logs: logs,
 	})
+	places := dispatcher.New(dispatcher.Options{
+		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
+		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
+	})
+	h.router = router.New(router.Options{
+		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: places,
+		Hosts: h.sharers, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
+		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
+	})
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
@@ -144,6 +149,16 @@
 	return rand.New(rand.NewPCG(incarnation, f.Sum64()))
 }
 
+// describe returns what the configuration in force says of a service.
+func (h *RoutingHost) describe(name string) (matcher.Service, bool) {
+	t := h.router.Table()
+	if t == nil {
+		return matcher.Service{}, false
+	}
+	s, ok := t.Services[name]
+	return s, ok
+}
+
 // sharers returns the most hosts that this one has ever seen serving at once: a host that is cut off must not take the
 // budget of those it no longer sees.
 func (h *RoutingHost) sharers() int {
--- /dev/null
+++ b/transport/dispatcher/desk.go
@@ -0,0 +1,474 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/estimator"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+)
+
+const (
+	// confidence is the number of standard deviations of the predicted memory that are kept free. A preemption has a
+	// prompt read again and breaks the pause between events; idle memory has requests wait.
+	confidence = 1.5
+	// holdMargin is what a home reserves beyond the prompt, in events of output: the rest is packed, not reserved.
+	holdMargin = 2
+	// tick is the time between two looks at those who wait.
+	tick = 20 * time.Millisecond
+	// holdTimeout bounds a call for a hold; engines answer it without work.
+	holdTimeout = 200 * time.Millisecond
+	// fullPause is how long an engine is not asked after it had no room.
+	fullPause = 60 * time.Millisecond
+	// abandonAfter is how long a request that waits is kept without a question about it.
+	abandonAfter = 2*pollWait + answerSlack
+	// readerWindow is how much work a reading engine may have before others wait here, where they can be ordered.
+	readerWindow = 150 * time.Millisecond
+	// farPenalty is the share of an engine's memory that another data centre counts for: bytes between them are dear.
+	farPenalty = 0.1
+	// farReader is the work that a reading engine of another data centre counts for: moving KV cache is dear.
+	farReader = 30 * time.Millisecond
+	// reportPeriod is the time between questions for engines' reports, while requests come.
+	reportPeriod = 2 * time.Second
+	// reportTimeout bounds such a question.
+	reportTimeout = 500 * time.Millisecond
+	// idleAfter is how long after the last request reports are asked for.
+	idleAfter = 6 * time.Second
+	// placings is the number of places whose rate tells how long others will wait.
+	placings = 12
+	// minReturn and maxReturn bound what refused callers are told to wait.
+	minReturn = 500 * time.Millisecond
+	maxReturn = 4 * time.Second
+)
+
+// ticket is a request that waits or has a place that nobody has fetched yet.
+type ticket struct {
+	queuer.Item
+	ask    Ask
+	zone   string
+	alone  bool
+	taking bool
+	polled time.Time
+	answer chan wire.PlaceAnswer
+	done   bool
+}
+
+// desk places the generations of one service.
+type desk struct {
+	dispatcher *Dispatcher
+	service    string
+	mu         sync.Mutex
+	tickets    map[string]*ticket
+	packer     *packer.Packer
+	readers    *packer.Readers
+	full       map[string]time.Time
+	placed     []time.Time
+	running    bool
+	watching   bool
+	used       time.Time
+	wake       chan struct{}
+}
+
+func newDesk(d *Dispatcher, service string) *desk {
+	return &desk{
+		dispatcher: d, service: service, tickets: make(map[string]*ticket), packer: packer.New(confidence),
+		readers: packer.NewReaders(), full: make(map[string]time.Time), wake: make(chan struct{}, 1),
+	}
+}
+
+// poll takes a request in, or asks what became of it.
+func (k *desk) poll(ctx context.Context, a Ask, zone string, alone bool) wire.PlaceAnswer {
+	clock := k.dispatcher.Clock
+	t := k.admit(a, zone, alone)
+	select {
+	case answer := <-t.answer:
+		k.forget(t)
+		return answer
+	case <-ctx.Done():
+	case <-clock.After(pollWait):
+	}
+	return wire.PlaceAnswer{State: stateWaiting}
+}
+
+func (k *desk) admit(a Ask, zone string, alone bool) *ticket {
+	now := k.dispatcher.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.used = now
+	t := k.tickets[a.ID]
+	if t == nil {
+		t = &ticket{
+			ask: a, zone: zone, alone: alone, answer: make(chan wire.PlaceAnswer, 1),
+			Item: queuer.Item{Priority: a.Priority, Arrived: a.Arrived, OnTime: a.OnTime, Latest: a.Latest},
+		}
+		k.tickets[a.ID] = t
+	}
+	t.polled = now
+	if !k.watching {
+		k.watching = true
+		go k.watch()
+	}
+	if !k.running {
+		k.running = true
+		go k.run()
+		return t
+	}
+	k.nudge()
+	return t
+}
+
+// nudge has those who wait looked at now.
+func (k *desk) nudge() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *desk) forget(t *ticket) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.tickets[t.ask.ID] == t {
+		delete(k.tickets, t.ask.ID)
+	}
+}
+
+// tell takes in how far a generation is.
+func (k *desk) tell(id string, step Step, output int, took time.Duration) {
+	now := k.dispatcher.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch step {
+	case Read:
+		k.readers.Done(now, id)
+	case Began:
+		k.packer.Began(id, now)
+	case Ended:
+		k.packer.Finished(id, output, took)
+	case Failed:
+		k.readers.Drop(id)
+		k.packer.Remove(id)
+		if t := k.tickets[id]; t != nil {
+			k.drop(t)
+		}
+	}
+	k.nudge()
+}
+
+// drop forgets a request whose host asks no more, and gives its place up. The caller holds mu.
+func (k *desk) drop(t *ticket) {
+	t.done = true
+	delete(k.tickets, t.ask.ID)
+	select {
+	case answer := <-t.answer:
+		k.packer.Remove(t.ask.ID)
+		k.readers.Drop(t.ask.ID)
+		if e := k.find(answer.Engine); e != nil && answer.Hold != "" {
+			go k.release(e, answer.Hold)
+		}
+	default:
+	}
+}
+
+func (k *desk) find(id string) *enlister.Endpoint {
+	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (k *desk) release(e *enlister.Endpoint, hold string) {
+	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+	defer cancel()
+	if err := k.dispatcher.Engines.Drop(ctx, e.Address, hold); err != nil {
+		eventer.Warn(k.dispatcher.Logs, eventer.ReleaseFailed, "endpoint", e.ID, "hold", hold, "error", err.Error())
+	}
+}
+
+// run looks at those who wait until nobody does.
+func (k *desk) run() {
+	for k.step() {
+		select {
+		case <-k.wake:
+		case <-k.dispatcher.Clock.After(tick):
+		}
+	}
+}
+
+// step places who can be placed and refuses who cannot. It returns false if nobody is left.
+func (k *desk) step() bool {
+	now := k.dispatcher.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	waiting := k.waiting(now)
+	if len(k.tickets) == 0 {
+		k.running = false
+		return false
+	}
+	k.resize()
+	missed := false
+	for i, t := range waiting {
+		if missed && t.IsLate(now) {
+			k.refuseHopeless(now, waiting[i:], i)
+			break
+		}
+		if !k.place(now, t) {
+			missed = true
+		}
+	}
+	return true
+}
+
+// waiting returns those who wait in the order of service and drops those whom nobody asks for. The caller holds mu.
+func (k *desk) waiting(now time.Time) []*ticket {
+	var list []*ticket
+	for _, t := range k.tickets {
+		switch {
+		case now.Sub(t.polled) > abandonAfter:
+			k.drop(t)
+		case t.taking || len(t.answer) > 0:
+		case t.IsLost(now):
+			k.refuse(t, "no engine has room", k.returnAfter(now, len(list)))
+		default:
+			list = append(list, t)
+		}
+	}
+	queuer.Sort(now, list, func(t *ticket) queuer.Item { return t.Item })
+	return list
+}
+
+// refuseHopeless refuses at once whoever will not get a place in time at the present rate. The caller holds mu.
+func (k *desk) refuseHopeless(now time.Time, waiting []*ticket, ahead int) {
+	rate := k.rate(now)
+	if rate <= 0 {
+		return
+	}
+	for i, t := range waiting {
+		start := now.Add(time.Duration(float64(ahead+i) / rate * float64(time.Second)))
+		if start.After(t.Latest) {
+			k.refuse(t, "no engine will have room in time", k.returnAfter(now, ahead+i))
+		}
+	}
+}
+
+// rate returns the places given in a second, 0 if too few are known.
+func (k *desk) rate(now time.Time) float64 {
+	if len(k.placed) < placings {
+		return 0
+	}
+	took := now.Sub(k.placed[0]).Seconds()
+	if took <= 0 {
+		return 0
+	}
+	return float64(len(k.placed)) / took
+}
+
+// returnAfter predicts when those ahead have their places, and spreads the returns.
+func (k *desk) returnAfter(now time.Time, ahead int) time.Duration {
+	wait := maxReturn
+	if rate := k.rate(now); rate > 0 {
+		wait = time.Duration(float64(ahead+1) / rate * float64(time.Second))
+	}
+	wait = min(max(wait, minReturn), maxReturn)
+	return time.Duration(float64(wait) * (1 + 0.5*k.dispatcher.random().Float64()))
+}
+
+func (k *desk) refuse(t *ticket, reason string, wait time.Duration) {
+	if len(t.answer) > 0 {
+		return
+	}
+	t.answer <- wire.PlaceAnswer{State: stateRefused, Reason: reason, Wait: int(wait.Milliseconds())}
+}
+
+// resize takes the engines' sizes from the configuration and forgets engines that are gone. The caller holds mu.
+func (k *desk) resize() {
+	service, ok := k.dispatcher.Describe(k.service)
+	if !ok || service.Engine == nil {
+		return
+	}
+	listed := make(map[string]bool)
+	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
+		if e.Stage != enroller.Prefill {
+			listed[e.ID] = true
+			k.packer.Resize(e.ID, service.Engine.Memory, service.Engine.Slots)
+		}
+	}
+	for _, name := range k.packer.Engines() {
+		if !listed[name] {
+			k.packer.Forget(name)
+		}
+	}
+}
+
+// place finds a place for t and has it taken. The caller holds mu.
+func (k *desk) place(now time.Time, t *ticket) bool {
+	service, ok := k.dispatcher.Describe(k.service)
+	if !ok || service.Engine == nil {
+		return false
+	}
+	e := k.pickEngine(now, t)
+	if e == nil {
+		return false
+	}
+	r, ok := k.pickReader(now, e)
+	if !ok {
+		return false
+	}
+	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
+	begins := now
+	if r != nil {
+		begins = now.Add(k.readers.Backlog(now, r.ID) + k.readers.Time(r.ID, t.ask.Prompt))
+		k.readers.Assign(now, r.ID, t.ask.ID, t.ask.Prompt)
+	}
+	k.packer.Add(e.ID, job, begins)
+	t.taking = true
+	tokens := t.ask.Prompt + holdMargin*service.Engine.Stride
+	if t.alone {
+		tokens = estimator.Need(estimator.Demand{Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput})
+	}
+	go k.take(t, e, r, tokens, service.Engine.MaxHold)
+	return true
+}
+
+// pickEngine returns the decode engine that the request fills least, nil if none has room. The caller holds mu.
+func (k *desk) pickEngine(now time.Time, t *ticket) *enlister.Endpoint {
+	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
+	random := k.dispatcher.random()
+	var best *enlister.Endpoint
+	lowest := 0.0
+	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
+		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) {
+			continue
+		}
+		peak := k.packer.Peak(now, e.ID, job, now)
+		if peak > 1 && !t.alone {
+			continue
+		}
+		cost := peak + 0.02*random.Float64()
+		if e.DataCentre != t.zone {
+			cost += farPenalty
+		}
+		if best == nil || cost < lowest {
+			best, lowest = e, cost
+		}
+	}
+	return best
+}
+
+// pickReader returns the reading engine with the least work. The result is nil and true if there is none at all, and
+// nil and false if all have enough to do. The caller holds mu.
+func (k *desk) pickReader(now time.Time, decode *enlister.Endpoint) (*enlister.Endpoint, bool) {
+	var best *enlister.Endpoint
+	var least time.Duration
+	any := false
+	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
+		if e.Stage != enroller.Prefill || e.IsEjected(now) {
+			continue
+		}
+		any = true
+		backlog := k.readers.Backlog(now, e.ID)
+		if backlog > readerWindow {
+			continue
+		}
+		if e.DataCentre != decode.DataCentre {
+			backlog += farReader
+		}
+		if best == nil || backlog < least {
+			best, least = e, backlog
+		}
+	}
+	return best, best != nil || !any
+}
+
+// take gets the hold for a placed request; without one the request waits on.
+func (k *desk) take(t *ticket, e, r *enlister.Endpoint, tokens int, lifetime time.Duration) {
+	d := k.dispatcher
+	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+	begun := d.Clock.Now()
+	hold, err := d.Engines.Hold(ctx, e.Address, tokens, lifetime)
+	cancel()
+	now := d.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t.taking = false
+	if err != nil {
+		k.packer.Remove(t.ask.ID)
+		k.readers.Drop(t.ask.ID)
+		k.noteFailure(now, t, e, err)
+		k.nudge()
+		return
+	}
+	if t.done {
+		k.packer.Remove(t.ask.ID)
+		k.readers.Drop(t.ask.ID)
+		go k.release(e, hold)
+		return
+	}
+	k.placed = append(k.placed, now)
+	if len(k.placed) > placings {
+		k.placed = k.placed[1:]
+	}
+	answer := wire.PlaceAnswer{State: statePlaced, Engine: e.ID, Hold: hold, Until: int(begun.Add(lifetime).Sub(now).Milliseconds())}
+	if r != nil {
+		answer.Reader = r.ID
+	}
+	t.answer <- answer
+}
+
+func (k *desk) noteFailure(now time.Time, t *ticket, e *enlister.Endpoint, err error) {
+	var full *FullError
+	if errors.As(err, &full) {
+		k.full[e.ID] = now.Add(fullPause)
+		return
+	}
+	eventer.Warn(k.dispatcher.Logs, eventer.SendFailed, "request", t.ask.ID, "endpoint", e.ID, "service", k.service,
+		"stage", e.Stage.String(), "outcome", "no hold", "reason", err.Error())
+	e.Judge(func(h *ejector.Health) { h.Refused(now) })
+}
+
+// watch asks engines for their reports while requests come, so that the runs of hosts that place alone are counted.
+func (k *desk) watch() {
+	for k.isUsed() {
+		for _, e := range k.dispatcher.Endpoints.Service(k.service) {
+			if e.Stage != enroller.Prefill {
+				go k.observe(e)
+			}
+		}
+		k.dispatcher.Clock.Sleep(reportPeriod)
+	}
+}
+
+func (k *desk) isUsed() bool {
+	now := k.dispatcher.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.packer.Expire(now)
+	k.watching = now.Sub(k.used) < idleAfter
+	return k.watching
+}
+
+func (k *desk) observe(e *enlister.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	load, err := k.dispatcher.Engines.Report(ctx, e.Address)
+	if err != nil {
+		return // the next report or call tells whether the engine is gone
+	}
+	service, ok := k.dispatcher.Describe(k.service)
+	if !ok || service.Engine == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.packer.Observe(k.dispatcher.Clock.Now(), e.ID, service.Engine.Stride, load.Runs)
+}
--- /dev/null
+++ b/transport/dispatcher/dispatcher.go
@@ -0,0 +1,283 @@
+// Package dispatcher places generations at model engines on behalf of all hosts.
+//
+// One host is the home of a service. It knows the generations that all hosts have at the service's engines, orders those
+// that wait and packs the engines' memory. What it knows is a hint: an engine itself grants each place, and a host whose
+// home is out of reach places alone, with larger reservations.
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+)
+
+const (
+	kindPlace = "place"
+	kindTell  = "placed"
+	// pollWait is how long a home keeps a question before it answers that the request still waits.
+	pollWait = 250 * time.Millisecond
+	// answerSlack is how much later an answer may come before the home counts as silent.
+	answerSlack = 250 * time.Millisecond
+	// homePause is how long a home that did not answer is not asked.
+	homePause = time.Second
+)
+
+// The states of a request at its home.
+const (
+	stateWaiting = iota
+	statePlaced
+	stateRefused
+)
+
+// Step is how far a generation is.
+type Step int
+
+// The steps that a home is told of.
+const (
+	// Read means that the prompt was read.
+	Read Step = iota
+	// Began means that the first output came.
+	Began
+	// Ended means that the whole output came.
+	Ended
+	// Failed means that nothing more will come.
+	Failed
+)
+
+// Ask describes a generation that wants a place. Numbers are of tokens.
+type Ask struct {
+	Service   string
+	ID        string
+	Prompt    int
+	Hint      int
+	MaxOutput int
+	Priority  int
+	Arrived   time.Time
+	// OnTime is the last moment to start for an answer within the target, Latest the last one at all.
+	OnTime time.Time
+	Latest time.Time
+}
+
+// Place is a place at a decode engine. Reader is the engine that is to read the prompt; nil has the engine read it.
+type Place struct {
+	Engine *enlister.Endpoint
+	Reader *enlister.Endpoint
+	Hold   string
+	Until  time.Time
+}
+
+// RefusedError reports that no place can be had in time.
+type RefusedError struct {
+	Reason string
+	Wait   time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("dispatcher: %s, come back in %s", e.Reason, e.Wait)
+}
+
+// Load is a model engine's report of itself, some hundred milliseconds old.
+type Load struct {
+	Queued int
+	Runs   []packer.Observed
+	// Orders is the number of orders that the engine has accepted.
+	Orders int64
+	Busy   bool
+}
+
+// FullError reports an engine without room for a reservation.
+type FullError struct {
+	Engine netip.AddrPort
+}
+
+func (e *FullError) Error() string { return "dispatcher: no room at " + e.Engine.String() }
+
+// Engines are the calls of model engines that dispatching needs.
+type Engines interface {
+	// Hold reserves a slot and memory. The error is a *FullError if there is no room.
+	Hold(ctx context.Context, at netip.AddrPort, tokens int, lifetime time.Duration) (string, error)
+	Drop(ctx context.Context, at netip.AddrPort, hold string) error
+	// Free gives up the KV cache of a prefill.
+	Free(ctx context.Context, at netip.AddrPort, handle string) error
+	Report(ctx context.Context, at netip.AddrPort) (Load, error)
+}
+
+// Hosts are the hosts that a home is chosen from.
+type Hosts interface {
+	Home(key string) (tracker.Member, bool)
+}
+
+// Options are the parts of a Dispatcher.
+type Options struct {
+	DataCentre string
+	Hosts      Hosts
+	Messenger  *messenger.Messenger
+	Endpoints  *enlister.Enlister
+	Engines    Engines
+	// Describe returns what the configuration says of a service.
+	Describe func(service string) (matcher.Service, bool)
+	Clock    clockwork.Clock
+	Random   *rand.Rand
+	Logs     hclog.Logger
+	Scope    tally.Scope
+}
+
+// Dispatcher finds places, as home of services and by asking other homes.
+type Dispatcher struct {
+	Options
+	mu     sync.Mutex
+	desks  map[string]*desk
+	silent map[string]time.Time
+}
+
+// New returns a Dispatcher and takes the kinds of messages it answers as home.
+func New(o Options) *Dispatcher {
+	d := &Dispatcher{Options: o, desks: make(map[string]*desk), silent: make(map[string]time.Time)}
+	messenger.Handle(o.Messenger, kindPlace, d.answerPlace)
+	messenger.Handle(o.Messenger, kindTell, d.answerTell)
+	return d
+}
+
+func homeKey(service string) string { return "engines/" + service }
+
+func (d *Dispatcher) desk(service string) *desk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.desks[service] == nil {
+		d.desks[service] = newDesk(d, service)
+	}
+	return d.desks[service]
+}
+
+// random returns a source for one decision.
+func (d *Dispatcher) random() *rand.Rand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return rand.New(rand.NewPCG(d.Random.Uint64(), d.Random.Uint64()))
+}
+
+func (d *Dispatcher) isSilent(host string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.silent[host]
+	return ok && d.Clock.Now().Sub(at) < homePause
+}
+
+func (d *Dispatcher) setSilent(host string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent[host] = d.Clock.Now()
+	eventer.Warn(d.Logs, eventer.HomeSilent, "host", host, "error", err.Error())
+}
+
+// Place returns a place for a generation. The error is a *RefusedError, or that of ctx.
+func (d *Dispatcher) Place(ctx context.Context, a Ask) (Place, error) {
+	for {
+		answer, err := d.ask(ctx, a)
+		if ctx.Err() != nil {
+			go d.Tell(a.Service, a.ID, Failed, 0, 0)
+			return Place{}, ctx.Err()
+		}
+		if err != nil {
+			continue
+		}
+		switch answer.State {
+		case stateRefused:
+			return Place{}, &RefusedError{Reason: answer.Reason, Wait: milliseconds(answer.Wait)}
+		case statePlaced:
+			if p, ok := d.resolve(a, answer); ok {
+				return p, nil
+			}
+			go d.Tell(a.Service, a.ID, Failed, 0, 0)
+		}
+	}
+}
+
+// resolve finds the engines of an answer in the own list. An engine that is not in it cannot be used.
+func (d *Dispatcher) resolve(a Ask, answer wire.PlaceAnswer) (Place, bool) {
+	p := Place{Hold: answer.Hold, Until: d.Clock.Now().Add(milliseconds(answer.Until))}
+	for _, e := range d.Endpoints.Service(a.Service) {
+		switch e.ID {
+		case answer.Engine:
+			p.Engine = e
+		case answer.Reader:
+			p.Reader = e
+		}
+	}
+	return p, p.Engine != nil
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// ask asks the home, or decides alone while the home is silent.
+func (d *Dispatcher) ask(ctx context.Context, a Ask) (wire.PlaceAnswer, error) {
+	home, own := d.Hosts.Home(homeKey(a.Service))
+	if own || d.isSilent(home.Name) {
+		return d.desk(a.Service).poll(ctx, a, d.DataCentre, !own), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollWait+answerSlack)
+	defer cancel()
+	answer, err := messenger.Call[wire.PlaceAsk, wire.PlaceAnswer](ctx, d.Messenger, home.Address, kindPlace, d.encode(a))
+	if err != nil && ctx.Err() != context.Canceled {
+		d.setSilent(home.Name, err)
+	}
+	return answer, err
+}
+
+func (d *Dispatcher) encode(a Ask) wire.PlaceAsk {
+	now := d.Clock.Now()
+	left := func(t time.Time) int { return int(t.Sub(now).Milliseconds()) }
+	return wire.PlaceAsk{
+		Service: a.Service, ID: a.ID, Zone: d.DataCentre, Prompt: a.Prompt, Hint: a.Hint, Max: a.MaxOutput, Rank: a.Priority,
+		Age: -left(a.Arrived), Ontime: left(a.OnTime), Latest: left(a.Latest),
+	}
+}
+
+func (d *Dispatcher) answerPlace(ctx context.Context, w wire.PlaceAsk) (wire.PlaceAnswer, error) {
+	now := d.Clock.Now()
+	a := Ask{
+		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank,
+		Arrived: now.Add(-milliseconds(w.Age)), OnTime: now.Add(milliseconds(w.Ontime)), Latest: now.Add(milliseconds(w.Latest)),
+	}
+	return d.desk(w.Service).poll(ctx, a, w.Zone, false), nil
+}
+
+// Tell tells the home how far a generation is.
+func (d *Dispatcher) Tell(service, id string, step Step, output int, took time.Duration) {
+	home, own := d.Hosts.Home(homeKey(service))
+	d.mu.Lock()
+	local := d.desks[service]
+	d.mu.Unlock()
+	if local != nil {
+		local.tell(id, step, output, took)
+	}
+	if own || d.isSilent(home.Name) {
+		return
+	}
+	t := wire.PlaceTell{Service: service, ID: id, Step: int(step), Output: output, Took: int(took.Milliseconds())}
+	ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
+	defer cancel()
+	if err := messenger.Tell(ctx, d.Messenger, home.Address, kindTell, t); err != nil {
+		d.setSilent(home.Name, err)
+	}
+}
+
+func (d *Dispatcher) answerTell(_ context.Context, w wire.PlaceTell) (wire.Empty, error) {
+	d.desk(w.Service).tell(w.ID, Step(w.Step), w.Output, milliseconds(w.Took))
+	return wire.Empty{}, nil
+}
--- a/transport/eventer/eventer.go
+++ b/transport/eventer/eventer.go
@@ -43,6 +43,7 @@
 	StageOrdered    = Event{608, "engine ordered to another stage"}
 	DutyChanged     = Event{609, "duty of ordering engines changed"}
 	ReleaseFailed   = Event{610, "engine memory not released"}
+	HomeSilent      = Event{403, "home of a service silent"}
 	AttemptFailed   = Event{701, "attempt failed"}
 	Superseded      = Event{702, "attempt superseded by a resend"}
 	RequestEnded    = Event{703, "request ended"}
@@ -57,7 +58,7 @@
 	Started, Draining, Stopped, LibraryNote, LogUnreachable, LogRegained, StreamExpired, RecordDamaged,
 	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
 	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, EndpointChanged, EndpointGone, StageOrdered,
-	DutyChanged, ReleaseFailed, AttemptFailed, Superseded, RequestEnded, SendFailed, LinesDropped, Reloaded, AuditLost,
+	DutyChanged, ReleaseFailed, HomeSilent, AttemptFailed, Superseded, RequestEnded, SendFailed, LinesDropped, Reloaded, AuditLost,
 }
 
 // New returns a logger that writes lines to w, as JSON if json is set, and takes over go-zero's own log.
--- a/transport/router/dialect.go
+++ b/transport/router/dialect.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
+	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
 )
 
 // Prompt is what a request says of the work for a model engine.
@@ -54,20 +54,6 @@
 	Signed bool
 }
 
-// Load is a model engine's report of itself, some hundred milliseconds old.
-type Load struct {
-	Stage   enroller.Stage
-	Queued  int
-	Running int
-	// Used and Total count tokens of memory; Held is the part that is reserved.
-	Used  int
-	Total int
-	Held  int
-	// Orders is the number of orders that the engine has accepted.
-	Orders int64
-	Busy   bool
-}
-
 // Dialect reads and writes the headers of requests and answers.
 type Dialect interface {
 	Request(h http.Header) (Request, error)
@@ -82,16 +68,13 @@
 
 // Engines are the calls of model engines beside requests.
 type Engines interface {
-	// Hold reserves a slot and memory. The error is a *FullError if there is no room.
-	Hold(ctx context.Context, at netip.AddrPort, tokens int, lifetime time.Duration) (string, error)
 	Drop(ctx context.Context, at netip.AddrPort, hold string) error
 	// Free gives up the KV cache of a prefill.
 	Free(ctx context.Context, at netip.AddrPort, handle string) error
 }
 
-// FullError reports an engine without room for a reservation.
-type FullError struct {
-	Engine netip.AddrPort
+// Places finds places for generations.
+type Places interface {
+	Place(ctx context.Context, a dispatcher.Ask) (dispatcher.Place, error)
+	Tell(service, id string, step dispatcher.Step, output int, took time.Duration)
 }
-
-func (e *FullError) Error() string { return "router: no room at " + e.Engine.String() }
--- a/transport/router/generate.go
+++ b/transport/router/generate.go
@@ -7,8 +7,7 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
-	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
-	"github.com/hornbeamspan/hornbeamspan/parts/coordination/estimator"
+	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
@@ -18,6 +17,12 @@
 	releaseTimeout = time.Second
 	// holdReserve is the part of a hold's lifetime that must be left when it is used.
 	holdReserve = 100 * time.Millisecond
+	// usualLead is the time from a place to the first event before any was measured.
+	usualLead = 250 * time.Millisecond
+	// leadWeight is the part that the newest lead has in the moving average.
+	leadWeight = 0.1
+	// waitShare is the part of the time left that a request may wait for a place.
+	waitShare = 0.35
 )
 
 // source is the KV cache of a prompt at the engine that read it.
@@ -26,20 +31,22 @@
 	handle string
 }
 
-// generate serves a generation: a hold at a decode engine first, so that no prompt is read for nothing.
+// generate serves a generation: a place at a decode engine first, so that no prompt is read for nothing.
 func (x *Router) generate(ctx context.Context, w http.ResponseWriter, j *job) {
 	x.countRequest(j.service.Name)
 	l := x.newRelay(w, j)
 	failed := &SendError{Outcome: NotSent, Reason: "no engine has room"}
 	for ctx.Err() == nil {
-		p, refusal := x.room(j).wait(ctx, j, x.need(j))
-		if refusal != nil {
-			if l.committed {
-				l.abort(*refusal)
-			}
-			x.finish(w, j, *refusal)
+		p, err := x.Places.Place(ctx, x.ask(j))
+		var refused *dispatcher.RefusedError
+		if errors.As(err, &refused) {
+			l.refuse(*refused)
 			return
 		}
+		if err != nil {
+			break
+		}
+		j.trace.set("placed_ms", x.Clock.Now().Sub(j.started).Milliseconds())
 		settled, err := x.generateAt(ctx, l, p)
 		if settled {
 			return
@@ -56,58 +63,110 @@
 	l.end(ctx, failed)
 }
 
-func (x *Router) need(j *job) int {
+// ask describes a job to the dispatcher.
+func (x *Router) ask(j *job) dispatcher.Ask {
+	now := x.Clock.Now()
 	p := j.request.Prompt
-	return estimator.Need(estimator.Demand{Prompt: p.Tokens, Hint: p.Hint, MaxOutput: p.MaxOutput})
+	lead := x.lead(j.service.Name)
+	latest := now.Add(time.Duration(waitShare * float64(j.left(now))))
+	if patience := j.started.Add(j.route.Patience - lead); j.route.Patience > 0 && patience.Before(latest) {
+		latest = patience
+	}
+	return dispatcher.Ask{
+		Service: j.service.Name, ID: j.request.ID, Prompt: p.Tokens, Hint: p.Hint, MaxOutput: p.MaxOutput,
+		Priority: j.route.Priority, Arrived: j.started, OnTime: j.started.Add(j.route.Target - lead), Latest: latest,
+	}
+}
+
+// lead returns the usual time from a place to the first event.
+func (x *Router) lead(service string) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.leads[service] == 0 {
+		x.leads[service] = usualLead
+	}
+	return x.leads[service]
+}
+
+func (x *Router) learnLead(service string, took time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.leads[service] += time.Duration(leadWeight * float64(took-x.leads[service]))
+}
+
+// refuse gives a stream up before it has run.
+func (l *relay) refuse(r dispatcher.RefusedError) {
+	e := ending{status: http.StatusServiceUnavailable, reason: r.Reason, wait: r.Wait}
+	if l.committed {
+		l.abort(e)
+	}
+	l.router.finish(l.w, l.j, e)
 }
 
-// generateAt has the prompt read and the answer generated at the place that was held.
-func (x *Router) generateAt(ctx context.Context, l *relay, p place) (bool, error) {
-	defer p.leave()
-	src, err := x.prefill(ctx, l.j, p)
+// generateAt has the prompt read and the answer generated at a place.
+func (x *Router) generateAt(ctx context.Context, l *relay, p dispatcher.Place) (bool, error) {
+	j := l.j
+	placed := x.Clock.Now()
+	src := x.prefill(ctx, j, p)
 	if ctx.Err() != nil {
-		x.release(src, p)
-		return false, &SendError{Endpoint: p.engine.ID, Outcome: NotSent, Reason: "given up while the prompt was read"}
+		x.release(j, src, p)
+		return false, &SendError{Endpoint: p.Engine.ID, Outcome: NotSent, Reason: "given up while the prompt was read"}
 	}
-	s := Send{Hold: p.hold}
-	if x.Clock.Now().After(p.until.Add(-holdReserve)) {
+	s := Send{Hold: p.Hold}
+	if x.Clock.Now().After(p.Until.Add(-holdReserve)) {
 		s.Hold = ""
 	}
-	if err == nil && src != nil {
+	if src != nil {
 		s.Source, s.Handle = src.engine.Address, src.handle
 	}
-	settled, err := l.run(ctx, p.engine, s)
+	before := l.count
+	l.began = func() {
+		x.learnLead(j.service.Name, x.Clock.Now().Sub(placed))
+		go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Began, 0, 0)
+	}
+	told := false
+	defer func() {
+		if !told {
+			go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Failed, 0, 0)
+		}
+	}()
+	settled, err := l.run(ctx, p.Engine, s)
 	var failed *SendError
 	if errors.As(err, &failed) && failed.Outcome != Unknown {
-		x.release(src, p)
+		x.release(j, src, p)
+	}
+	if settled && l.count > before {
+		told = true
+		output := (l.count - before) * j.service.Engine.Stride
+		go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Ended, output, l.lastAt.Sub(l.firstAt))
 	}
 	return settled, err
 }
 
 // release gives up a prompt's KV cache and a hold that nobody will use.
-func (x *Router) release(src *source, p place) {
+func (x *Router) release(j *job, src *source, p dispatcher.Place) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		if src != nil {
 			if err := x.Engines.Free(ctx, src.engine.Address, src.handle); err != nil {
-				eventer.Warn(x.Logs, eventer.ReleaseFailed, "endpoint", src.engine.ID, "handle", src.handle, "error", err.Error())
+				eventer.Warn(x.Logs, eventer.ReleaseFailed, "request", j.request.ID, "endpoint", src.engine.ID, "handle", src.handle, "error", err.Error())
 			}
 		}
-		if err := x.Engines.Drop(ctx, p.engine.Address, p.hold); err != nil {
-			eventer.Warn(x.Logs, eventer.ReleaseFailed, "endpoint", p.engine.ID, "hold", p.hold, "error", err.Error())
+		if err := x.Engines.Drop(ctx, p.Engine.Address, p.Hold); err != nil {
+			eventer.Warn(x.Logs, eventer.ReleaseFailed, "request", j.request.ID, "endpoint", p.Engine.ID, "hold", p.Hold, "error", err.Error())
 		}
 	}()
 }
 
 // prefill has the prompt read at a prefill engine. Without a source the decode engine reads the prompt itself.
-func (x *Router) prefill(ctx context.Context, j *job, p place) (*source, error) {
-	e := x.pickPrefill(j, p)
+func (x *Router) prefill(ctx context.Context, j *job, p dispatcher.Place) *source {
+	e := p.Reader
 	if e == nil {
 		j.trace.step("no prefill engine")
-		return nil, nil
+		return nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, p.until.Add(-holdReserve))
+	ctx, cancel := context.WithDeadline(ctx, p.Until.Add(-holdReserve))
 	defer cancel()
 	begun := x.Clock.Now()
 	resp, body, err := x.exchange(ctx, j, e, Send{Prefill: true})
@@ -115,36 +174,16 @@
 		err = &SendError{Endpoint: e.ID, Outcome: Unknown, Reason: resp.Status}
 	}
 	if err != nil {
-		j.trace.step("prefill failed at %s", e.ID)
-		return nil, err
+		j.trace.step("prefill failed at %s: %s", e.ID, err)
+		return nil
 	}
+	go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Read, 0, 0)
 	handle, err := x.Dialect.Handle(body)
 	if err != nil {
 		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
 		x.logSend(j, e, "unknown", err.Error())
-		return nil, err
+		return nil
 	}
 	j.trace.step("prefill at %s in %d ms", e.ID, x.Clock.Now().Sub(begun).Milliseconds())
-	return &source{engine: e, handle: handle}, nil
-}
-
-// pickPrefill prefers an idle prefill engine in the decode engine's data centre.
-func (x *Router) pickPrefill(j *job, p place) *enlister.Endpoint {
-	now := x.Clock.Now()
-	var best *enlister.Endpoint
-	lowest := 0.0
-	random := x.random()
-	for _, e := range x.Endpoints.Service(j.service.Name) {
-		if e.Stage != enroller.Prefill || e.IsEjected(now) {
-			continue
-		}
-		cost := e.Cost(usualLatency) * (0.8 + 0.4*random.Float64())
-		if e.DataCentre != p.engine.DataCentre {
-			cost *= farPenalty
-		}
-		if best == nil || cost < lowest {
-			best, lowest = e, cost
-		}
-	}
-	return best
+	return &source{engine: e, handle: handle}
 }
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -39,6 +39,7 @@
 	DataCentre string
 	Dialect    Dialect
 	Engines    Engines
+	Places     Places
 	Endpoints  *enlister.Enlister
 	// Hosts returns the number of hosts that share the budget of extra sends; 0 if it is not known yet.
 	Hosts       func() int
@@ -61,7 +62,7 @@
 	inflight atomic.Int64
 	mu       sync.Mutex
 	budgets  map[string]*limiter.Window
-	rooms    map[string]*room
+	leads    map[string]time.Duration
 	meters   meters
 }
 
@@ -71,7 +72,7 @@
 		Options: o,
 		client:  dialer.NewOnce("endpoints", nil),
 		budgets: make(map[string]*limiter.Window),
-		rooms:   make(map[string]*room),
+		leads:   make(map[string]time.Duration),
 		meters:  newMeters(o.Scope),
 	}
 }
--- a/transport/router/stream.go
+++ b/transport/router/stream.go
@@ -56,6 +56,8 @@
 	firstAt   time.Time
 	lastAt    time.Time
 	maxPause  time.Duration
+	// began is called at the first event.
+	began func()
 }
 
 func (x *Router) newRelay(w http.ResponseWriter, j *job) *relay {
@@ -107,6 +109,9 @@
 	now := l.router.Clock.Now()
 	if l.count == 0 {
 		l.firstAt = now
+		if l.began != nil {
+			l.began()
+		}
 	} else {
 		l.maxPause = max(l.maxPause, now.Sub(l.lastAt))
 	}
--- a/transport/router/trace.go
+++ b/transport/router/trace.go
@@ -36,9 +36,6 @@
 type meters struct {
 	scope     tally.Scope
 	noBudget  tally.Counter
-	holds     tally.Counter
-	refused   tally.Counter
-	preempted tally.Counter
 	mu        sync.Mutex
 	statuses  map[string]tally.Counter
 	latencies map[string]tally.Histogram
@@ -51,8 +48,6 @@
 	return meters{
 		scope:     scope,
 		noBudget:  scope.Counter("resends_without_budget"),
-		holds:     scope.Counter("holds_granted"),
-		refused:   scope.Counter("holds_refused"),
 		statuses:  make(map[string]tally.Counter),
 		latencies: make(map[string]tally.Histogram),
 	}
