Move engines between stages by measured load, under a fenced lease

Cause: three of nine engines read prompts and are a third used, while memory of the six that generate binds. Change: stager compares what both stages serve a second (measured reading speed, run time, and how many runs the packer fits) and moves one engine at a time; leaser and conductor fence the orders by conditional appends.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hornbeamspan/hornbeamspan/internal/version"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/leaser"
 	"github.com/hornbeamspan/hornbeamspan/platform"
 	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
@@ -79,6 +80,7 @@
 		ReadyRoute:     platform.ReadyRoute,
 		DirectoryRoute: platform.DirectoryRoute,
 		Grace:          s.Grace, ApplyTime: s.ApplyTime, ContactTime: s.ContactTime,
+		Lease:      leaser.Config{Lease: s.Lease, Margin: s.Thaw},
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	}
 }
--- a/parts/coordination/packer/packer.go
+++ b/parts/coordination/packer/packer.go
@@ -254,3 +254,33 @@
 		}
 	}
 }
+
+// Fit returns how many generations like j, at all ages, an engine has room for, and how long one runs.
+func (p *Packer) Fit(now time.Time, memory, slots int, rate float64, j Job) (int, time.Duration) {
+	hint := p.expected(j)
+	output := p.ratios.Mean() * hint
+	life := time.Duration(output / rate * float64(time.Second))
+	for n := 1; n <= slots; n++ {
+		e := &engine{memory: memory, slots: slots, rate: rate}
+		var mean, variance [steps]float64
+		for i := range n {
+			age := time.Duration(float64(life) * float64(i) / float64(n))
+			p.predict(now, e, &run{Job: j, begins: now.Add(-age), hint: hint}, &mean, &variance)
+		}
+		for i := range mean {
+			if mean[i]+p.confidence*math.Sqrt(variance[i]) > float64(memory) {
+				return n - 1, life
+			}
+		}
+	}
+	return slots, life
+}
+
+// Rate returns the mean output of a run in tokens a second over all engines.
+func (p *Packer) Rate() float64 {
+	sum := 0.0
+	for _, e := range p.engines {
+		sum += e.rate
+	}
+	return sum / float64(max(1, len(p.engines)))
+}
--- a/parts/coordination/packer/ratios.go
+++ b/parts/coordination/packer/ratios.go
@@ -72,3 +72,12 @@
 	part := at - float64(i)
 	return (r.above[i]*(1-part) + r.above[i+1]*part) / r.above[0]
 }
+
+// Mean returns the mean ratio.
+func (r *Ratios) Mean() float64 {
+	sum := 0.0
+	for i, w := range r.weights {
+		sum += w * math.Exp2(lowest+(float64(i)+0.5)/binsPerStep)
+	}
+	return sum / r.above[0]
+}
--- /dev/null
+++ b/parts/coordination/stager/stager.go
@@ -0,0 +1,90 @@
+// Package stager decides how many model engines read prompts and how many generate.
+//
+// The split that a deployment starts with fits no load but one. Memory of the generating engines binds in a burst while
+// reading engines idle, or the other way round after failures. The stager compares what each stage can serve in a
+// second, from measured times, and moves one engine at a time.
+package stager
+
+import "time"
+
+const (
+	// gain is how much more a split must serve to be worth a switch, in which an engine serves nobody.
+	gain = 1.06
+	// readerUse is the part of their time that reading engines can be busy before prompts queue for long.
+	readerUse = 0.95
+	// rest is the number of switch times between two orders.
+	rest = 1.5
+	// spared is the number of engines from which on two of them must read: one may fail.
+	spared = 5
+	// leastSamples is the number of prompts read and of generations ended that make a measurement.
+	leastSamples = 6
+)
+
+// Load is what was measured. Times are of one engine.
+type Load struct {
+	// Readers and Generators are the engines of each stage, those counted that are on their way to it.
+	Readers    int
+	Generators int
+	// ReadTime is how long an engine reads a prompt.
+	ReadTime time.Duration
+	// RunTime is how long a generation runs, and Fit is how many of them an engine has room for.
+	RunTime time.Duration
+	Fit     int
+	// Read and Ended are the numbers of measured prompts and generations.
+	Read  int
+	Ended int
+}
+
+// Rate returns the generations that readers reading engines and the rest can serve in a second.
+func (l Load) Rate(readers int) float64 {
+	generators := l.Readers + l.Generators - readers
+	if readers <= 0 || generators <= 0 {
+		return 0
+	}
+	read := readerUse * float64(readers) / l.ReadTime.Seconds()
+	run := float64(generators*l.Fit) / l.RunTime.Seconds()
+	return min(read, run)
+}
+
+// Move is an order to one engine.
+type Move uint8
+
+// The moves.
+const (
+	Stay Move = iota
+	ToDecode
+	ToPrefill
+)
+
+// Stager remembers its last order. It is not safe for concurrent use.
+type Stager struct {
+	last time.Time
+}
+
+// Decide returns the move to make at now. switching is how long an engine takes to change its stage.
+func (s *Stager) Decide(now time.Time, l Load, switching time.Duration) Move {
+	if !s.last.IsZero() && now.Sub(s.last) < time.Duration(rest*float64(switching)) {
+		return Stay
+	}
+	least := 1
+	if l.Readers+l.Generators >= spared {
+		least = 2
+	}
+	if l.Readers < least && l.Generators > 1 {
+		return ToPrefill
+	}
+	if l.Read < leastSamples || l.Ended < leastSamples || l.ReadTime <= 0 || l.RunTime <= 0 || l.Fit <= 0 {
+		return Stay
+	}
+	present := l.Rate(l.Readers)
+	switch {
+	case l.Readers > least && l.Rate(l.Readers-1) > gain*present:
+		return ToDecode
+	case l.Generators > 1 && l.Rate(l.Readers+1) > gain*present:
+		return ToPrefill
+	}
+	return Stay
+}
+
+// Ordered notes an order.
+func (s *Stager) Ordered(now time.Time) { s.last = now }
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
@@ -15,8 +16,10 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/hornbeamspan/hornbeamspan/internal/version"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/leaser"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/transport/conductor"
 	"github.com/hornbeamspan/hornbeamspan/transport/configurer"
 	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
@@ -36,6 +39,18 @@
 	Endpoints string
 }
 
+// Store is the platform's log.
+type Store interface {
+	tailer.Log
+	conductor.Store
+}
+
+// Engines are the calls of model engines beside requests.
+type Engines interface {
+	dispatcher.Engines
+	conductor.Engines
+}
+
 // RoutingConfig is the checked configuration of a host whose routes come from the platform's store.
 type RoutingConfig struct {
 	Name       string
@@ -48,12 +63,12 @@
 	Seeds      []netip.AddrPort
 	PeerKey    string
 
-	Store          tailer.Log
+	Store          Store
+	Engines        Engines
 	Topics         Topics
 	DecodeTable    func([]byte) (*matcher.Table, error)
 	DecodeEndpoint enlister.Decode
 	Dialect        router.Dialect
-	Engines        dispatcher.Engines
 	ReadyRoute     func(isReady func() bool) rest.Route
 	DirectoryRoute func(choose func(dataCentre string) []netip.AddrPort, lifetime time.Duration) rest.Route
 
@@ -63,6 +78,8 @@
 	ApplyTime time.Duration
 	// ContactTime is how long a silent host may contradict before it is held for dead.
 	ContactTime time.Duration
+	// Lease bounds the duty of ordering engines.
+	Lease       leaser.Config
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
@@ -127,6 +144,10 @@
 	})
 	places := dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
+		Orders: conductor.New(conductor.Options{
+			Holder: fmt.Sprintf("%s/%d", cfg.Name, incarnation), Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
+			Clock: clock, Logs: logs,
+		}),
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	h.router = router.New(router.Options{
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/estimator"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/stager"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
@@ -71,6 +72,9 @@
 	readers    *packer.Readers
 	full       map[string]time.Time
 	placed     []time.Time
+	sizes      sizes
+	stager     stager.Stager
+	changes    map[string]change
 	running    bool
 	watching   bool
 	used       time.Time
@@ -80,7 +84,7 @@
 func newDesk(d *Dispatcher, service string) *desk {
 	return &desk{
 		dispatcher: d, service: service, tickets: make(map[string]*ticket), packer: packer.New(confidence),
-		readers: packer.NewReaders(), full: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		readers: packer.NewReaders(), full: make(map[string]time.Time), changes: make(map[string]change), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -110,6 +114,7 @@
 			Item: queuer.Item{Priority: a.Priority, Arrived: a.Arrived, OnTime: a.OnTime, Latest: a.Latest},
 		}
 		k.tickets[a.ID] = t
+		k.sizes.admit(a)
 	}
 	t.polled = now
 	if !k.watching {
@@ -149,10 +154,12 @@
 	switch step {
 	case Read:
 		k.readers.Done(now, id)
+		k.sizes.read++
 	case Began:
 		k.packer.Began(id, now)
 	case Ended:
 		k.packer.Finished(id, output, took)
+		k.sizes.ended++
 	case Failed:
 		k.readers.Drop(id)
 		k.packer.Remove(id)
@@ -347,7 +354,7 @@
 	var best *enlister.Endpoint
 	lowest := 0.0
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) {
+		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
 			continue
 		}
 		peak := k.packer.Peak(now, e.ID, job, now)
@@ -372,7 +379,7 @@
 	var least time.Duration
 	any := false
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage != enroller.Prefill || e.IsEjected(now) {
+		if e.Stage != enroller.Prefill || e.IsEjected(now) || k.isChanging(now, e) {
 			continue
 		}
 		any = true
@@ -436,15 +443,24 @@
 	e.Judge(func(h *ejector.Health) { h.Refused(now) })
 }
 
-// watch asks engines for their reports while requests come, so that the runs of hosts that place alone are counted.
+// watch balances the stages while requests come, and asks engines for their reports, so that the runs of hosts that
+// place alone are counted.
 func (k *desk) watch() {
+	d := k.dispatcher
+	var asked time.Time
 	for k.isUsed() {
-		for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-			if e.Stage != enroller.Prefill {
-				go k.observe(e)
+		if now := d.Clock.Now(); now.Sub(asked) >= reportPeriod {
+			asked = now
+			for _, e := range d.Endpoints.Service(k.service) {
+				if e.Stage != enroller.Prefill {
+					go k.observe(e)
+				}
 			}
 		}
-		k.dispatcher.Clock.Sleep(reportPeriod)
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		k.balance(ctx)
+		cancel()
+		d.Clock.Sleep(balancePeriod)
 	}
 }
 
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -120,6 +120,9 @@
 // Hosts are the hosts that a home is chosen from.
 type Hosts interface {
 	Home(key string) (tracker.Member, bool)
+	// HasMajority tells whether this host is in touch with most of the others. A host that is not may not be the only
+	// one that takes itself for a home.
+	HasMajority() bool
 }
 
 // Options are the parts of a Dispatcher.
@@ -129,6 +132,7 @@
 	Messenger  *messenger.Messenger
 	Endpoints  *enlister.Enlister
 	Engines    Engines
+	Orders     Orders
 	// Describe returns what the configuration says of a service.
 	Describe func(service string) (matcher.Service, bool)
 	Clock    clockwork.Clock
@@ -155,6 +159,12 @@
 
 func homeKey(service string) string { return "engines/" + service }
 
+// isHome tells whether this host places the generations of a service for all.
+func (d *Dispatcher) isHome(service string) bool {
+	_, own := d.Hosts.Home(homeKey(service))
+	return own && d.Hosts.HasMajority()
+}
+
 func (d *Dispatcher) desk(service string) *desk {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -228,7 +238,7 @@
 func (d *Dispatcher) ask(ctx context.Context, a Ask) (wire.PlaceAnswer, error) {
 	home, own := d.Hosts.Home(homeKey(a.Service))
 	if own || d.isSilent(home.Name) {
-		return d.desk(a.Service).poll(ctx, a, d.DataCentre, !own), nil
+		return d.desk(a.Service).poll(ctx, a, d.DataCentre, !own || !d.Hosts.HasMajority()), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollWait+answerSlack)
 	defer cancel()
@@ -254,7 +264,7 @@
 		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank,
 		Arrived: now.Add(-milliseconds(w.Age)), OnTime: now.Add(milliseconds(w.Ontime)), Latest: now.Add(milliseconds(w.Latest)),
 	}
-	return d.desk(w.Service).poll(ctx, a, w.Zone, false), nil
+	return d.desk(w.Service).poll(ctx, a, w.Zone, !d.Hosts.HasMajority()), nil
 }
 
 // Tell tells the home how far a generation is.
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -223,6 +223,22 @@
 // Serving returns the hosts that are not known to leave or to be out of reach, the own one included.
 func (g *Gossiper) Serving() []tracker.Member { return slices.Clone(g.serving.Load().members) }
 
+// HasMajority tells whether more than half of the hosts that are known, the dead ones too until they are forgotten, are
+// in touch. A host that has met none of its seeds yet is not in touch.
+func (g *Gossiper) HasMajority() bool {
+	serving := len(g.serving.Load().members)
+	known := 1
+	for _, m := range g.Members() {
+		if m.State != tracker.Leaving {
+			known++
+		}
+	}
+	if known == 1 && slices.ContainsFunc(g.options.Seeds, func(a netip.AddrPort) bool { return a != g.options.Self.Address }) {
+		return false
+	}
+	return 2*serving > known
+}
+
 // Home returns the host that serves key for all, and whether it is the own one.
 func (g *Gossiper) Home(key string) (tracker.Member, bool) {
 	s := g.serving.Load()
