Keep homes steady and have new ones reserve in full at first

Cause: the home of a service moved with each restart of the host that the hash names, and each new one packed without knowing the runs under way; a reading engine's speed, taken from single prompts that are read together, came out endless (read_ms 0 in the log); an order that the store had no answer for was tried again only after 9 s.

--- a/parts/coordination/packer/readers.go
+++ b/parts/coordination/packer/readers.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// firstSpeed is the number of prompt tokens that an engine reads in a second before it has read any.
-	firstSpeed = 20000.0
-	// speedWeight is the part that the newest prompt has in the moving average of speeds.
-	speedWeight = 0.3
+	// firstTokens in firstBusy are the first guess of an engine's speed, which counts as a small prompt.
+	firstTokens = 1000.0
+	firstBusy   = 50 * time.Millisecond
+	// fading is what a prompt's weight in the measured speed is multiplied by with each later one.
+	fading = 0.85
 	// lostAfter is how long a prompt may be under way before it counts as lost.
 	lostAfter = 3 * time.Second
 )
@@ -17,11 +18,16 @@
 }
 
 type reader struct {
-	speed float64
-	last  time.Time
-	open  map[string]reading
+	// tokens read in a busy time, the newest prompts with the most weight. Prompts may be read together, so that one
+	// prompt's own time tells little.
+	tokens float64
+	busy   time.Duration
+	last   time.Time
+	open   map[string]reading
 }
 
+func (r *reader) speed() float64 { return r.tokens / r.busy.Seconds() }
+
 // Readers counts the prompts under way at the engines that read prompts. It is not safe for concurrent use.
 type Readers struct {
 	engines map[string]*reader
@@ -36,7 +42,7 @@
 func (s *Readers) engine(name string) *reader {
 	r := s.engines[name]
 	if r == nil {
-		r = &reader{speed: firstSpeed, open: make(map[string]reading)}
+		r = &reader{tokens: firstTokens, busy: firstBusy, open: make(map[string]reading)}
 		s.engines[name] = r
 	}
 	return r
@@ -65,17 +71,17 @@
 	if oldest.After(begun) {
 		begun = oldest
 	}
-	left := time.Duration(float64(tokens)/r.speed*float64(time.Second)) - now.Sub(begun)
+	left := time.Duration(float64(tokens)/r.speed()*float64(time.Second)) - now.Sub(begun)
 	return max(left, 0)
 }
 
 // Time returns how long an engine takes to read a prompt.
 func (s *Readers) Time(name string, tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.engine(name).speed * float64(time.Second))
+	return time.Duration(float64(tokens) / s.engine(name).speed() * float64(time.Second))
 }
 
 // Speed returns the prompt tokens that an engine reads in a second.
-func (s *Readers) Speed(name string) float64 { return s.engine(name).speed }
+func (s *Readers) Speed(name string) float64 { return s.engine(name).speed() }
 
 // Assign counts a prompt.
 func (s *Readers) Assign(now time.Time, name, id string, tokens int) {
@@ -100,9 +106,8 @@
 		begun = r.last
 	}
 	r.last = now
-	if took := now.Sub(begun).Seconds(); took > 0 {
-		r.speed += speedWeight * (float64(o.tokens)/took - r.speed)
-	}
+	r.tokens = fading*r.tokens + float64(o.tokens)
+	r.busy = time.Duration(fading*float64(r.busy)) + max(0, now.Sub(begun))
 }
 
 // Drop forgets a prompt that was not read.
--- a/parts/coordination/stager/stager.go
+++ b/parts/coordination/stager/stager.go
@@ -14,6 +14,8 @@
 	readerUse = 0.95
 	// rest is the number of switch times between two orders.
 	rest = 1.5
+	// retry is how long after an order that could not be given another is tried.
+	retry = time.Second
 	// spared is the number of engines from which on two of them must read: one may fail.
 	spared = 5
 	// leastSamples is the number of prompts read and of generations ended that make a measurement.
@@ -58,12 +60,12 @@
 
 // Stager remembers its last order. It is not safe for concurrent use.
 type Stager struct {
-	last time.Time
+	next time.Time
 }
 
-// Decide returns the move to make at now. switching is how long an engine takes to change its stage.
-func (s *Stager) Decide(now time.Time, l Load, switching time.Duration) Move {
-	if !s.last.IsZero() && now.Sub(s.last) < time.Duration(rest*float64(switching)) {
+// Decide returns the move to make at now.
+func (s *Stager) Decide(now time.Time, l Load) Move {
+	if now.Before(s.next) {
 		return Stay
 	}
 	least := 1
@@ -86,5 +88,10 @@
 	return Stay
 }
 
-// Ordered notes an order.
-func (s *Stager) Ordered(now time.Time) { s.last = now }
+// Ordered notes an order to an engine that takes switching to change its stage.
+func (s *Stager) Ordered(now time.Time, switching time.Duration) {
+	s.next = now.Add(time.Duration(rest * float64(switching)))
+}
+
+// NotOrdered notes an order that could not be given.
+func (s *Stager) NotOrdered(now time.Time) { s.next = now.Add(retry) }
--- a/transport/dispatcher/balance.go
+++ b/transport/dispatcher/balance.go
@@ -62,7 +62,7 @@
 	now := d.Clock.Now()
 	k.mu.Lock()
 	load := k.load(now, service.Engine.Memory, service.Engine.Slots)
-	move := k.stager.Decide(now, load, service.Engine.SwitchTime)
+	move := k.stager.Decide(now, load)
 	target := enroller.Decode
 	if move == stager.ToPrefill {
 		target = enroller.Prefill
@@ -72,7 +72,7 @@
 		e = k.pickMove(now, target)
 	}
 	if e != nil {
-		k.stager.Ordered(now)
+		k.stager.Ordered(now, service.Engine.SwitchTime)
 		k.changes[e.ID] = change{stage: target, until: now.Add(conductor.Patience + service.Engine.SwitchTime)}
 	}
 	k.mu.Unlock()
@@ -100,6 +100,7 @@
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		delete(k.changes, e.ID)
+		k.stager.NotOrdered(d.Clock.Now())
 	}
 }
 
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -33,12 +33,19 @@
 	abandonAfter = 2*pollWait + answerSlack
 	// readerWindow is how much work a reading engine may have before others wait here, where they can be ordered.
 	readerWindow = 150 * time.Millisecond
+	// ownReading is the time for which a decode engine that reads a prompt itself is given no second one: prompts hold up
+	// the output of every generation there.
+	ownReading = 500 * time.Millisecond
 	// farPenalty is the share of an engine's memory that another data centre counts for: bytes between them are dear.
 	farPenalty = 0.1
 	// farReader is the work that a reading engine of another data centre counts for: moving KV cache is dear.
 	farReader = 30 * time.Millisecond
 	// reportPeriod is the time between questions for engines' reports, while requests come.
 	reportPeriod = 2 * time.Second
+	// warmUp is how long a new home reserves in full: runs that started shortly before are not in any report yet.
+	warmUp = 1500 * time.Millisecond
+	// warmPeriod is the time between questions for reports while a home is new.
+	warmPeriod = 500 * time.Millisecond
 	// reportTimeout bounds such a question.
 	reportTimeout = 500 * time.Millisecond
 	// idleAfter is how long after the last request reports are asked for.
@@ -75,16 +82,21 @@
 	sizes      sizes
 	stager     stager.Stager
 	changes    map[string]change
-	running    bool
-	watching   bool
-	used       time.Time
-	wake       chan struct{}
+	// reading tells until when a decode engine reads a prompt itself, for want of a reading engine.
+	reading  map[string]time.Time
+	running  bool
+	watching bool
+	used     time.Time
+	// since is when this host began to place for others or alone, after a pause.
+	since time.Time
+	wake  chan struct{}
 }
 
 func newDesk(d *Dispatcher, service string) *desk {
 	return &desk{
 		dispatcher: d, service: service, tickets: make(map[string]*ticket), packer: packer.New(confidence),
-		readers: packer.NewReaders(), full: make(map[string]time.Time), changes: make(map[string]change), wake: make(chan struct{}, 1),
+		readers: packer.NewReaders(), full: make(map[string]time.Time), changes: make(map[string]change),
+		reading: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -106,6 +118,9 @@
 	now := k.dispatcher.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if now.Sub(k.used) > idleAfter {
+		k.since = now
+	}
 	k.used = now
 	t := k.tickets[a.ID]
 	if t == nil {
@@ -328,7 +343,7 @@
 		return false
 	}
 	r, ok := k.pickReader(now, e)
-	if !ok {
+	if !ok || (r == nil && now.Before(k.reading[e.ID])) {
 		return false
 	}
 	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
@@ -336,11 +351,13 @@
 	if r != nil {
 		begins = now.Add(k.readers.Backlog(now, r.ID) + k.readers.Time(r.ID, t.ask.Prompt))
 		k.readers.Assign(now, r.ID, t.ask.ID, t.ask.Prompt)
+	} else {
+		k.reading[e.ID] = now.Add(ownReading)
 	}
 	k.packer.Add(e.ID, job, begins)
 	t.taking = true
 	tokens := t.ask.Prompt + holdMargin*service.Engine.Stride
-	if t.alone {
+	if t.alone || now.Sub(k.since) < warmUp {
 		tokens = estimator.Need(estimator.Demand{Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput})
 	}
 	go k.take(t, e, r, tokens, service.Engine.MaxHold)
@@ -449,7 +466,7 @@
 	d := k.dispatcher
 	var asked time.Time
 	for k.isUsed() {
-		if now := d.Clock.Now(); now.Sub(asked) >= reportPeriod {
+		if now := d.Clock.Now(); now.Sub(asked) >= k.period(now) {
 			asked = now
 			for _, e := range d.Endpoints.Service(k.service) {
 				if e.Stage != enroller.Prefill {
@@ -464,6 +481,15 @@
 	}
 }
 
+func (k *desk) period(now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Sub(k.since) < 2*warmUp {
+		return warmPeriod
+	}
+	return reportPeriod
+}
+
 func (k *desk) isUsed() bool {
 	now := k.dispatcher.Clock.Now()
 	k.mu.Lock()
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -119,7 +119,7 @@
 
 // Hosts are the hosts that a home is chosen from.
 type Hosts interface {
-	Home(key string) (tracker.Member, bool)
+	SteadyHome(key string) (tracker.Member, bool)
 	// HasMajority tells whether this host is in touch with most of the others. A host that is not may not be the only
 	// one that takes itself for a home.
 	HasMajority() bool
@@ -161,7 +161,7 @@
 
 // isHome tells whether this host places the generations of a service for all.
 func (d *Dispatcher) isHome(service string) bool {
-	_, own := d.Hosts.Home(homeKey(service))
+	_, own := d.Hosts.SteadyHome(homeKey(service))
 	return own && d.Hosts.HasMajority()
 }
 
@@ -236,7 +236,7 @@
 
 // ask asks the home, or decides alone while the home is silent.
 func (d *Dispatcher) ask(ctx context.Context, a Ask) (wire.PlaceAnswer, error) {
-	home, own := d.Hosts.Home(homeKey(a.Service))
+	home, own := d.Hosts.SteadyHome(homeKey(a.Service))
 	if own || d.isSilent(home.Name) {
 		return d.desk(a.Service).poll(ctx, a, d.DataCentre, !own || !d.Hosts.HasMajority()), nil
 	}
@@ -269,7 +269,7 @@
 
 // Tell tells the home how far a generation is.
 func (d *Dispatcher) Tell(service, id string, step Step, output int, took time.Duration) {
-	home, own := d.Hosts.Home(homeKey(service))
+	home, own := d.Hosts.SteadyHome(homeKey(service))
 	d.mu.Lock()
 	local := d.desks[service]
 	d.mu.Unlock()
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -239,6 +239,33 @@
 	return 2*serving > known
 }
 
+// cohort is how much later than the oldest host one may have started to be a steady home: a host that was restarted does
+// not take its homes back.
+const cohort = 2 * time.Second
+
+// SteadyHome returns the host among those running longest that serves key for all, and whether it is the own one. A
+// home with much to learn moves less often so.
+func (g *Gossiper) SteadyHome(key string) (tracker.Member, bool) {
+	members := g.serving.Load().members
+	if len(members) == 0 {
+		return g.Self(), true
+	}
+	oldest := members[0].Incarnation
+	for _, m := range members {
+		oldest = min(oldest, m.Incarnation)
+	}
+	byName := make(map[string]tracker.Member)
+	var names []string
+	for _, m := range members {
+		if m.Incarnation-oldest <= uint64(cohort) {
+			byName[m.Name] = m
+			names = append(names, m.Name)
+		}
+	}
+	home := byName[ranker.Home(key, names)]
+	return home, home.Name == g.options.Self.Name
+}
+
 // Home returns the host that serves key for all, and whether it is the own one.
 func (g *Gossiper) Home(key string) (tracker.Member, bool) {
 	s := g.serving.Load()
