--- a/parts/coordination/leaser/leaser.go
+++ b/parts/coordination/leaser/leaser.go
@@ -47,6 +47,9 @@
 	w.seen[duty] = sighting{Record: r, at: now}
 }
 
+// Holder returns the holder of a duty as last seen.
+func (w *Watch) Holder(duty string) string { return w.seen[duty].Holder }
+
 // MayTake tells whether holder may append a record of its own for a duty.
 func (w *Watch) MayTake(now time.Time, duty, holder string) bool {
 	s, ok := w.seen[duty]
--- a/parts/coordination/limiter/window.go
+++ b/parts/coordination/limiter/window.go
@@ -45,3 +45,6 @@
 	w.extras[at]++
 	return true
 }
+
+// Charge counts an extra send that was made without asking.
+func (w *Window) Charge(now time.Time) { w.extras[w.advance(now)]++ }
--- a/parts/coordination/stager/stager.go
+++ b/parts/coordination/stager/stager.go
@@ -9,7 +9,7 @@
 
 const (
 	// gain is how much more a split must serve to be worth a switch, in which an engine serves nobody.
-	gain = 1.06
+	gain = 1.15
 	// readerUse is the part of their time that reading engines can be busy before prompts queue for long.
 	readerUse = 0.95
 	// rest is the number of switch times between two orders.
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -408,9 +408,12 @@
 	Zone string `json:"zone"`
 }
 
-// PlaceTell tells a dispatcher how far a generation is: its prompt is read, its
-// output began or it has ended.
+// PlaceTell tells a dispatcher how far a generation is at an engine: its prompt is
+// read, its output began or it has ended.
 type PlaceTell struct {
+	// Engine corresponds to the JSON schema field "engine".
+	Engine string `json:"engine"`
+
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id"`
 
--- a/transport/conductor/conductor.go
+++ b/transport/conductor/conductor.go
@@ -128,7 +128,7 @@
 	}
 	start := c.options.Clock.Now()
 	if !c.watch.MayTake(start, engine, c.options.Holder) {
-		return leaser.Token{}, &HeldError{Duty: engine}
+		return leaser.Token{}, &HeldError{Duty: engine, Holder: c.watch.Holder(engine)}
 	}
 	value, err := json.Marshal(duty{Holder: c.options.Holder})
 	if err != nil {
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -29,6 +29,11 @@
 	holdTimeout = 200 * time.Millisecond
 	// fullPause is how long an engine is not asked after it had no room.
 	fullPause = 60 * time.Millisecond
+	// refusedPause is how long an engine is not used after it refused a generation that had a hold there, or lost the KV
+	// cache of a prompt: it does not do its part at present.
+	refusedPause = time.Second
+	// busyPause is how long an engine is not asked after its report told of an order; the next report comes sooner.
+	busyPause = reportPeriod + time.Second
 	// abandonAfter is how long a request that waits is kept without a question about it.
 	abandonAfter = 2*pollWait + answerSlack
 	// readerWindow is how much work a reading engine may have before others wait here, where they can be ordered.
@@ -162,23 +167,30 @@
 }
 
 // tell takes in how far a generation is.
-func (k *desk) tell(id string, step Step, output int, took time.Duration) {
+func (k *desk) tell(p Progress) {
 	now := k.dispatcher.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	switch step {
+	switch p.Step {
 	case Read:
-		k.readers.Done(now, id)
+		k.readers.Done(now, p.ID)
 		k.sizes.read++
+	case Unread:
+		k.readers.Drop(p.ID)
+	case Lost:
+		k.full[p.Engine] = now.Add(refusedPause)
 	case Began:
-		k.packer.Began(id, now)
+		k.packer.Began(p.ID, now)
 	case Ended:
-		k.packer.Finished(id, output, took)
+		k.packer.Finished(p.ID, p.Output, p.Took)
 		k.sizes.ended++
+	case Refused:
+		k.full[p.Engine] = now.Add(refusedPause)
+		k.packer.Remove(p.ID)
 	case Failed:
-		k.readers.Drop(id)
-		k.packer.Remove(id)
-		if t := k.tickets[id]; t != nil {
+		k.readers.Drop(p.ID)
+		k.packer.Remove(p.ID)
+		if t := k.tickets[p.ID]; t != nil {
 			k.drop(t)
 		}
 	}
@@ -396,7 +408,7 @@
 	var least time.Duration
 	any := false
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage != enroller.Prefill || e.IsEjected(now) || k.isChanging(now, e) {
+		if e.Stage != enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
 			continue
 		}
 		any = true
@@ -512,5 +524,9 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if load.Busy {
+		// An order of an earlier home is being carried out, whatever the engine's entry says.
+		k.full[e.ID] = k.dispatcher.Clock.Now().Add(busyPause)
+	}
 	k.packer.Observe(k.dispatcher.Clock.Now(), e.ID, service.Engine.Stride, load.Runs)
 }
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -57,8 +57,25 @@
 	Ended
 	// Failed means that nothing more will come.
 	Failed
+	// Unread means that the reading engine did not read the prompt.
+	Unread
+	// Lost means that the KV cache of the read prompt could not be had.
+	Lost
+	// Refused means that the engine did not take the generation, in spite of its hold.
+	Refused
 )
 
+// Progress is news of a generation. Engine is the one that the news is about, where that is not the place itself.
+type Progress struct {
+	Service string
+	ID      string
+	Engine  string
+	Step    Step
+	// Output is the number of tokens made in Took.
+	Output int
+	Took   time.Duration
+}
+
 // Ask describes a generation that wants a place. Numbers are of tokens.
 type Ask struct {
 	Service   string
@@ -200,7 +217,7 @@
 	for {
 		answer, err := d.ask(ctx, a)
 		if ctx.Err() != nil {
-			go d.Tell(a.Service, a.ID, Failed, 0, 0)
+			go d.Tell(Progress{Service: a.Service, ID: a.ID, Step: Failed})
 			return Place{}, ctx.Err()
 		}
 		if err != nil {
@@ -213,7 +230,7 @@
 			if p, ok := d.resolve(a, answer); ok {
 				return p, nil
 			}
-			go d.Tell(a.Service, a.ID, Failed, 0, 0)
+			go d.Tell(Progress{Service: a.Service, ID: a.ID, Step: Failed})
 		}
 	}
 }
@@ -268,18 +285,20 @@
 }
 
 // Tell tells the home how far a generation is.
-func (d *Dispatcher) Tell(service, id string, step Step, output int, took time.Duration) {
-	home, own := d.Hosts.SteadyHome(homeKey(service))
+func (d *Dispatcher) Tell(p Progress) {
+	home, own := d.Hosts.SteadyHome(homeKey(p.Service))
 	d.mu.Lock()
-	local := d.desks[service]
+	local := d.desks[p.Service]
 	d.mu.Unlock()
 	if local != nil {
-		local.tell(id, step, output, took)
+		local.tell(p)
 	}
 	if own || d.isSilent(home.Name) {
 		return
 	}
-	t := wire.PlaceTell{Service: service, ID: id, Step: int(step), Output: output, Took: int(took.Milliseconds())}
+	t := wire.PlaceTell{
+		Service: p.Service, ID: p.ID, Engine: p.Engine, Step: int(p.Step), Output: p.Output, Took: int(p.Took.Milliseconds()),
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
 	defer cancel()
 	if err := messenger.Tell(ctx, d.Messenger, home.Address, kindTell, t); err != nil {
@@ -288,6 +307,8 @@
 }
 
 func (d *Dispatcher) answerTell(_ context.Context, w wire.PlaceTell) (wire.Empty, error) {
-	d.desk(w.Service).tell(w.ID, Step(w.Step), w.Output, milliseconds(w.Took))
+	d.desk(w.Service).tell(Progress{
+		Service: w.Service, ID: w.ID, Engine: w.Engine, Step: Step(w.Step), Output: w.Output, Took: milliseconds(w.Took),
+	})
 	return wire.Empty{}, nil
 }
--- a/transport/router/dialect.go
+++ b/transport/router/dialect.go
@@ -76,5 +76,5 @@
 // Places finds places for generations.
 type Places interface {
 	Place(ctx context.Context, a dispatcher.Ask) (dispatcher.Place, error)
-	Tell(service, id string, step dispatcher.Step, output int, took time.Duration)
+	Tell(p dispatcher.Progress)
 }
--- a/transport/router/generate.go
+++ b/transport/router/generate.go
@@ -122,27 +122,43 @@
 	before := l.count
 	l.began = func() {
 		x.learnLead(j.service.Name, x.Clock.Now().Sub(placed))
-		go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Began, 0, 0)
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Began})
 	}
 	told := false
 	defer func() {
 		if !told {
-			go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Failed, 0, 0)
+			x.tell(j, dispatcher.Progress{Step: dispatcher.Failed})
 		}
 	}()
 	settled, err := l.run(ctx, p.Engine, s)
 	var failed *SendError
+	if errors.As(err, &failed) && failed.Outcome == NotRun && src != nil {
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Lost, Engine: src.engine.ID})
+		if ctx.Err() == nil && x.mayResend(j.service.Name) {
+			j.trace.step("KV cache of %s not to be had", src.engine.ID)
+			settled, err = l.run(ctx, p.Engine, Send{Hold: s.Hold})
+		}
+	}
 	if errors.As(err, &failed) && failed.Outcome != Unknown {
 		x.release(j, src, p)
+		if failed.Outcome == NotRun {
+			x.tell(j, dispatcher.Progress{Step: dispatcher.Refused, Engine: p.Engine.ID})
+		}
 	}
 	if settled && l.count > before {
 		told = true
 		output := (l.count - before) * j.service.Engine.Stride
-		go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Ended, output, l.lastAt.Sub(l.firstAt))
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Ended, Output: output, Took: l.lastAt.Sub(l.firstAt)})
 	}
 	return settled, err
 }
 
+// tell tells the home of the job's service how far the job is.
+func (x *Router) tell(j *job, p dispatcher.Progress) {
+	p.Service, p.ID = j.service.Name, j.request.ID
+	go x.Places.Tell(p)
+}
+
 // release gives up a prompt's KV cache and a hold that nobody will use.
 func (x *Router) release(j *job, src *source, p dispatcher.Place) {
 	go func() {
@@ -159,6 +175,15 @@
 	}()
 }
 
+// notRead counts a prompt that was not read: only the first accepted one is free.
+func (x *Router) notRead(j *job, err error) {
+	x.tell(j, dispatcher.Progress{Step: dispatcher.Unread})
+	var failed *SendError
+	if errors.As(err, &failed) && failed.Outcome == NotRun && j.reads == 1 {
+		x.chargeResend(j.service.Name)
+	}
+}
+
 // prefill has the prompt read at a prefill engine. Without a source the decode engine reads the prompt itself.
 func (x *Router) prefill(ctx context.Context, j *job, p dispatcher.Place) *source {
 	e := p.Reader
@@ -166,6 +191,10 @@
 		j.trace.step("no prefill engine")
 		return nil
 	}
+	if j.reads++; j.reads > 1 && !x.mayResend(j.service.Name) {
+		j.trace.step("no budget to read the prompt again")
+		return nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, p.Until.Add(-holdReserve))
 	defer cancel()
 	begun := x.Clock.Now()
@@ -175,9 +204,10 @@
 	}
 	if err != nil {
 		j.trace.step("prefill failed at %s: %s", e.ID, err)
+		x.notRead(j, err)
 		return nil
 	}
-	go x.Places.Tell(j.service.Name, j.request.ID, dispatcher.Read, 0, 0)
+	x.tell(j, dispatcher.Progress{Step: dispatcher.Read})
 	handle, err := x.Dialect.Handle(body)
 	if err != nil {
 		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -118,6 +118,8 @@
 	expires time.Time
 	// sends counts the endpoints that the request was sent to.
 	sends int
+	// reads counts the prefill engines that the request was sent to.
+	reads int
 	trace trace
 }
 
@@ -261,6 +263,13 @@
 	x.budget(service).Request(x.Clock.Now())
 }
 
+// chargeResend counts a send that an endpoint refused and that was not counted as extra before.
+func (x *Router) chargeResend(service string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.budget(service).Charge(x.Clock.Now())
+}
+
 // mayResend takes one extra send from the budget of a service.
 func (x *Router) mayResend(service string) bool {
 	x.mu.Lock()
