Prefer homes that reach the store; report unreachable engines to the home

Hosts found dead engines each for itself. Change: members tell whether they reach the store, and homes are chosen among those that do; hosts report engines that refuse prompts or cannot be reached; a new home asks every engine for orders under way.

--- a/parts/coordination/tracker/tracker.go
+++ b/parts/coordination/tracker/tracker.go
@@ -32,6 +32,8 @@
 	DataCentre  string
 	Incarnation uint64
 	State       State
+	// Blind hosts do not reach the platform's log: what they know of endpoints may be old.
+	Blind bool
 }
 
 // Message is a ping or its answer. Rules is the sender's version of the rule file.
@@ -95,6 +97,16 @@
 // SetRules sets the version of the rule file that this host tells others.
 func (t *Tracker) SetRules(version uint64) { t.rules = version }
 
+// SetBlind tells whether the own host reaches the platform's log. A change counts as a new incarnation, so that it
+// replaces what others know.
+func (t *Tracker) SetBlind(blind bool) {
+	if t.self.Blind == blind {
+		return
+	}
+	t.self.Blind = blind
+	t.self.Incarnation++
+}
+
 // Leave marks the own host as leaving.
 func (t *Tracker) Leave() { t.self.State = Leaving }
 
--- a/protocol/encoder/gossip.go
+++ b/protocol/encoder/gossip.go
@@ -21,7 +21,7 @@
 func host(m tracker.Member) wire.Host {
 	return wire.Host{
 		Name: m.Name, Address: m.Address.String(), Callers: m.Callers.String(), Zone: m.DataCentre,
-		Incarnation: m.Incarnation, State: uint8(m.State),
+		Incarnation: m.Incarnation, State: uint8(m.State), Blind: m.Blind,
 	}
 }
 
@@ -53,6 +53,6 @@
 	}
 	return tracker.Member{
 		Name: w.Name, Address: address, Callers: callers, DataCentre: w.Zone,
-		Incarnation: w.Incarnation, State: tracker.State(w.State),
+		Incarnation: w.Incarnation, State: tracker.State(w.State), Blind: w.Blind,
 	}, nil
 }
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -250,6 +250,9 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// Blind hosts do not reach the platform's log.
+	Blind bool `json:"blind"`
+
 	// Callers corresponds to the JSON schema field "callers".
 	Callers string `json:"callers"`
 
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -96,6 +96,8 @@
 	configWait = 10 * time.Second
 	// routingPeriod is the time between heartbeats of a routing host.
 	routingPeriod = 500 * time.Millisecond
+	// blindAfter is how long the store may be out of reach before others are told: one slow answer is no outage.
+	blindAfter = time.Second
 	// maxAddresses is how many addresses callers are told.
 	maxAddresses = 64
 	// drainPoll is the time between two looks at the requests in flight.
@@ -140,6 +142,7 @@
 			Period: routingPeriod, AnswerTimeout: time.Duration(answerTimeout * float64(routingPeriod)),
 			SuspicionTimeout: cfg.ContactTime, Retention: retention, Updates: updates,
 		},
+		IsBlind:   func() bool { return h.endpoints.LostFor() > blindAfter },
 		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation), Logs: logs,
 	})
 	places := dispatcher.New(dispatcher.Options{
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -32,6 +32,8 @@
 	// refusedPause is how long an engine is not used after it refused a generation that had a hold there, or lost the KV
 	// cache of a prompt: it does not do its part at present.
 	refusedPause = time.Second
+	// unreadPause is how long an engine is not used after it refused a prompt: it has too many, or has changed its stage.
+	unreadPause = 400 * time.Millisecond
 	// busyPause is how long an engine is not asked after its report told of an order; the next report comes sooner.
 	busyPause = reportPeriod + time.Second
 	// abandonAfter is how long a request that waits is kept without a question about it.
@@ -177,6 +179,12 @@
 		k.sizes.read++
 	case Unread:
 		k.readers.Drop(p.ID)
+		k.full[p.Engine] = now.Add(unreadPause)
+	case Unreachable:
+		k.readers.Drop(p.ID)
+		if e := k.find(p.Engine); e != nil {
+			e.Judge(func(h *ejector.Health) { h.Failed(now) })
+		}
 	case Lost:
 		k.full[p.Engine] = now.Add(refusedPause)
 	case Began:
@@ -481,7 +489,7 @@
 		if now := d.Clock.Now(); now.Sub(asked) >= k.period(now) {
 			asked = now
 			for _, e := range d.Endpoints.Service(k.service) {
-				if e.Stage != enroller.Prefill {
+				if e.Stage != enroller.Prefill || k.isNew(now) {
 					go k.observe(e)
 				}
 			}
@@ -494,14 +502,19 @@
 }
 
 func (k *desk) period(now time.Time) time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if now.Sub(k.since) < 2*warmUp {
+	if k.isNew(now) {
 		return warmPeriod
 	}
 	return reportPeriod
 }
 
+// isNew tells whether the host may not know yet what an earlier home has done.
+func (k *desk) isNew(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.since) < 2*warmUp
+}
+
 func (k *desk) isUsed() bool {
 	now := k.dispatcher.Clock.Now()
 	k.mu.Lock()
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -57,8 +57,10 @@
 	Ended
 	// Failed means that nothing more will come.
 	Failed
-	// Unread means that the reading engine did not read the prompt.
+	// Unread means that the reading engine refused the prompt.
 	Unread
+	// Unreachable means that an engine could not be reached, or broke off.
+	Unreachable
 	// Lost means that the KV cache of the read prompt could not be had.
 	Lost
 	// Refused means that the engine did not take the generation, in spite of its hold.
--- a/transport/enlister/enlister.go
+++ b/transport/enlister/enlister.go
@@ -60,16 +60,17 @@
 
 // Enlister follows the endpoints' topic.
 type Enlister struct {
-	decode  Decode
-	clock   clockwork.Clock
-	logs    hclog.Logger
-	mu      sync.Mutex
-	list    *enroller.Enroller
-	known   map[string]*Endpoint
-	byName  atomic.Pointer[map[string][]*Endpoint]
-	ready   chan struct{}
-	once    sync.Once
-	changed atomic.Int64
+	decode Decode
+	clock  clockwork.Clock
+	logs   hclog.Logger
+	mu     sync.Mutex
+	list   *enroller.Enroller
+	known  map[string]*Endpoint
+	byName atomic.Pointer[map[string][]*Endpoint]
+	ready  chan struct{}
+	once   sync.Once
+	// lostAt is when the store went out of reach, in nanoseconds; 0 while it answers.
+	lostAt atomic.Int64
 }
 
 // New returns an empty list.
@@ -118,8 +119,18 @@
 	e.once.Do(func() { close(e.ready) })
 }
 
+// LostFor returns how long the store has been out of reach, 0 while it answers.
+func (e *Enlister) LostFor() time.Duration {
+	at := e.lostAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return e.clock.Now().Sub(time.Unix(0, at))
+}
+
 // Lost notes that the store is out of reach.
 func (e *Enlister) Lost(error) {
+	e.lostAt.CompareAndSwap(0, e.clock.Now().UnixNano())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.list.Lost()
@@ -127,6 +138,7 @@
 
 // Regained notes that the store answers.
 func (e *Enlister) Regained() {
+	e.lostAt.Store(0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -42,8 +42,10 @@
 	Config    tracker.Config
 	Messenger *messenger.Messenger
 	Rules     Rules
-	Random    *rand.Rand
-	Logs      hclog.Logger
+	// IsBlind tells whether this host is out of touch with the platform's log; nil stands for never.
+	IsBlind func() bool
+	Random  *rand.Rand
+	Logs    hclog.Logger
 }
 
 // Gossiper runs a tracker.
@@ -51,7 +53,8 @@
 	options Options
 	mu      sync.Mutex
 	tracker *tracker.Tracker
-	states  map[string]tracker.State
+	states  map[string]tracker.Member
+	blind   bool
 	serving atomic.Pointer[serving]
 	done    chan struct{}
 }
@@ -67,7 +70,7 @@
 	g := &Gossiper{
 		options: o,
 		tracker: tracker.New(o.Config, o.Self, o.Seeds, o.Random),
-		states:  make(map[string]tracker.State),
+		states:  make(map[string]tracker.Member),
 		done:    make(chan struct{}),
 	}
 	g.rebuild()
@@ -101,6 +104,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.SetRules(g.options.Rules.Version())
+	if g.options.IsBlind != nil {
+		g.tracker.SetBlind(g.options.IsBlind())
+	}
 	sends := g.tracker.Tick(time.Now())
 	g.note()
 	return sends
@@ -111,13 +117,16 @@
 	changed := false
 	members := g.tracker.Members()
 	for _, m := range members {
-		if old, ok := g.states[m.Name]; !ok || old != m.State {
-			g.states[m.Name] = m.State
+		if old, ok := g.states[m.Name]; !ok || old.State != m.State || old.Blind != m.Blind {
+			g.states[m.Name] = m
 			changed = true
-			eventer.Info(g.options.Logs, eventer.HostState, "host", m.Name, "state", StateName(m.State))
+			eventer.Info(g.options.Logs, eventer.HostState, "host", m.Name, "state", StateName(m.State), "blind", m.Blind,
+				"incarnation", m.Incarnation)
 		}
 	}
-	if changed || len(members) != len(g.states) {
+	self := g.tracker.Self()
+	if changed || len(members) != len(g.states) || self.Blind != g.blind {
+		g.blind = self.Blind
 		g.rebuild()
 	}
 }
@@ -130,7 +139,7 @@
 	}
 	clear(g.states)
 	for _, m := range g.tracker.Members() {
-		g.states[m.Name] = m.State
+		g.states[m.Name] = m
 		if m.State == tracker.Alive {
 			next.members = append(next.members, m)
 		}
@@ -244,9 +253,12 @@
 const cohort = 2 * time.Second
 
 // SteadyHome returns the host among those running longest that serves key for all, and whether it is the own one. A
-// home with much to learn moves less often so.
+// home with much to learn moves less often so. Hosts that do not reach the platform's log come last.
 func (g *Gossiper) SteadyHome(key string) (tracker.Member, bool) {
 	members := g.serving.Load().members
+	if seeing := slices.DeleteFunc(slices.Clone(members), func(m tracker.Member) bool { return m.Blind }); len(seeing) > 0 {
+		members = seeing
+	}
 	if len(members) == 0 {
 		return g.Self(), true
 	}
--- a/transport/router/generate.go
+++ b/transport/router/generate.go
@@ -145,6 +145,9 @@
 			x.tell(j, dispatcher.Progress{Step: dispatcher.Refused, Engine: p.Engine.ID})
 		}
 	}
+	if failed != nil && failed.Outcome != NotRun && ctx.Err() == nil {
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: p.Engine.ID})
+	}
 	if settled && l.count > before {
 		told = true
 		output := (l.count - before) * j.service.Engine.Stride
@@ -175,11 +178,15 @@
 	}()
 }
 
-// notRead counts a prompt that was not read: only the first accepted one is free.
-func (x *Router) notRead(j *job, err error) {
-	x.tell(j, dispatcher.Progress{Step: dispatcher.Unread})
+// notRead reports a prompt that was not read. Of the sends that ask for reading only the first accepted one is free.
+func (x *Router) notRead(j *job, e *enlister.Endpoint, err error) {
 	var failed *SendError
-	if errors.As(err, &failed) && failed.Outcome == NotRun && j.reads == 1 {
+	if !errors.As(err, &failed) || failed.Outcome != NotRun {
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: e.ID})
+		return
+	}
+	x.tell(j, dispatcher.Progress{Step: dispatcher.Unread, Engine: e.ID})
+	if j.reads == 1 {
 		x.chargeResend(j.service.Name)
 	}
 }
@@ -204,7 +211,7 @@
 	}
 	if err != nil {
 		j.trace.step("prefill failed at %s: %s", e.ID, err)
-		x.notRead(j, err)
+		x.notRead(j, e, err)
 		return nil
 	}
 	x.tell(j, dispatcher.Progress{Step: dispatcher.Read})
