Announce running generations to a new home

Cause: a new home knew the generations under way only from engines' reports, 0.9 s late and without their hints, and packed too much.

--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -433,6 +433,38 @@
 	Took int `json:"took"`
 }
 
+// PlacedRun is a generation under way at an engine. Age is in milliseconds since
+// its output began or was to begin.
+type PlacedRun struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Engine corresponds to the JSON schema field "engine".
+	Engine string `json:"engine"`
+
+	// Hint corresponds to the JSON schema field "hint".
+	Hint int `json:"hint"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id"`
+
+	// Max corresponds to the JSON schema field "max".
+	Max int `json:"max"`
+
+	// Prompt corresponds to the JSON schema field "prompt".
+	Prompt int `json:"prompt"`
+}
+
+// PlacedRuns tells a new home of a service which generations a host has under way
+// there.
+type PlacedRuns struct {
+	// Runs corresponds to the JSON schema field "runs".
+	Runs []PlacedRun `json:"runs"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // Publication asks for a change of the rule file.
 type Publication struct {
 	// Author corresponds to the JSON schema field "author".
--- /dev/null
+++ b/transport/dispatcher/announce.go
@@ -0,0 +1,129 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+)
+
+// announcePeriod is the time between two looks whether a home has moved, while generations are under way.
+const announcePeriod = 100 * time.Millisecond
+
+// activeRun is a generation of this host under way.
+type activeRun struct {
+	ask    Ask
+	engine string
+	begins time.Time
+}
+
+// begin counts a placed generation.
+func (d *Dispatcher) begin(a Ask, p Place) {
+	now := d.Clock.Now()
+	home, _ := d.Hosts.SteadyHome(homeKey(a.Service))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active[a.ID] = activeRun{ask: a, engine: p.Engine.ID, begins: now}
+	if d.announced[a.Service] == "" {
+		d.announced[a.Service] = home.Name
+	}
+	if !d.announcing {
+		d.announcing = true
+		go d.announce()
+	}
+}
+
+// note takes in how far a generation of this host is.
+func (d *Dispatcher) note(p Progress) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.active[p.ID]
+	if !ok {
+		return
+	}
+	switch p.Step {
+	case Began:
+		r.begins = d.Clock.Now()
+		d.active[p.ID] = r
+	case Ended, Failed, Refused:
+		delete(d.active, p.ID)
+	}
+}
+
+// announce tells new homes of the generations under way, until there are none.
+func (d *Dispatcher) announce() {
+	for {
+		moved, active := d.moved()
+		for service, to := range moved {
+			d.announceTo(service, to)
+		}
+		if !active {
+			return
+		}
+		d.Clock.Sleep(announcePeriod)
+	}
+}
+
+// moved returns the services whose home is another one than was announced to.
+func (d *Dispatcher) moved() (map[string]tracker.Member, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.active) == 0 {
+		d.announcing = false
+		clear(d.announced)
+		return nil, false
+	}
+	moved := make(map[string]tracker.Member)
+	for service, announced := range d.announced {
+		if home, _ := d.Hosts.SteadyHome(homeKey(service)); home.Name != announced {
+			moved[service] = home
+			d.announced[service] = home.Name
+		}
+	}
+	return moved, true
+}
+
+func (d *Dispatcher) announceTo(service string, home tracker.Member) {
+	now := d.Clock.Now()
+	runs := wire.PlacedRuns{Service: service}
+	d.mu.Lock()
+	for id, r := range d.active {
+		if r.ask.Service == service {
+			runs.Runs = append(runs.Runs, wire.PlacedRun{
+				ID: id, Engine: r.engine, Prompt: r.ask.Prompt, Hint: r.ask.Hint, Max: r.ask.MaxOutput,
+				Age: int(now.Sub(r.begins).Milliseconds()),
+			})
+		}
+	}
+	d.mu.Unlock()
+	if _, own := d.Hosts.SteadyHome(homeKey(service)); own {
+		d.desk(service).learn(runs)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
+	defer cancel()
+	if err := messenger.Tell(ctx, d.Messenger, home.Address, kindRuns, runs); err != nil {
+		d.setSilent(home.Name, err)
+	}
+}
+
+func (d *Dispatcher) answerRuns(_ context.Context, w wire.PlacedRuns) (wire.Empty, error) {
+	d.desk(w.Service).learn(w)
+	return wire.Empty{}, nil
+}
+
+// learn takes in the generations that another host has under way.
+func (k *desk) learn(w wire.PlacedRuns) {
+	now := k.dispatcher.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.resize()
+	for _, r := range w.Runs {
+		k.packer.Remove(r.ID)
+		job := packer.Job{ID: r.ID, Prompt: r.Prompt, Hint: r.Hint, MaxOutput: r.Max}
+		k.packer.Add(r.Engine, job, now.Add(-milliseconds(r.Age)))
+	}
+}
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -29,6 +29,7 @@
 const (
 	kindPlace = "place"
 	kindTell  = "placed"
+	kindRuns  = "runs"
 	// pollWait is how long a home keeps a question before it answers that the request still waits.
 	pollWait = 250 * time.Millisecond
 	// answerSlack is how much later an answer may come before the home counts as silent.
@@ -166,13 +167,21 @@
 	mu     sync.Mutex
 	desks  map[string]*desk
 	silent map[string]time.Time
+	// active are this host's generations under way, announced the home of each service that knows of them.
+	active     map[string]activeRun
+	announced  map[string]string
+	announcing bool
 }
 
 // New returns a Dispatcher and takes the kinds of messages it answers as home.
 func New(o Options) *Dispatcher {
-	d := &Dispatcher{Options: o, desks: make(map[string]*desk), silent: make(map[string]time.Time)}
+	d := &Dispatcher{
+		Options: o, desks: make(map[string]*desk), silent: make(map[string]time.Time),
+		active: make(map[string]activeRun), announced: make(map[string]string),
+	}
 	messenger.Handle(o.Messenger, kindPlace, d.answerPlace)
 	messenger.Handle(o.Messenger, kindTell, d.answerTell)
+	messenger.Handle(o.Messenger, kindRuns, d.answerRuns)
 	return d
 }
 
@@ -230,6 +239,7 @@
 			return Place{}, &RefusedError{Reason: answer.Reason, Wait: milliseconds(answer.Wait)}
 		case statePlaced:
 			if p, ok := d.resolve(a, answer); ok {
+				d.begin(a, p)
 				return p, nil
 			}
 			go d.Tell(Progress{Service: a.Service, ID: a.ID, Step: Failed})
@@ -288,6 +298,7 @@
 
 // Tell tells the home how far a generation is.
 func (d *Dispatcher) Tell(p Progress) {
+	d.note(p)
 	home, own := d.Hosts.SteadyHome(homeKey(p.Service))
 	d.mu.Lock()
 	local := d.desks[p.Service]
