--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -361,6 +361,9 @@
 	// Hold corresponds to the JSON schema field "hold".
 	Hold string `json:"hold"`
 
+	// Home is the name of the host to ask instead.
+	Home string `json:"home"`
+
 	// Reader corresponds to the JSON schema field "reader".
 	Reader string `json:"reader"`
 
@@ -404,6 +407,9 @@
 	// Rank corresponds to the JSON schema field "rank".
 	Rank int `json:"rank"`
 
+	// Sent asks were sent here by a host that was the home before.
+	Sent bool `json:"sent"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
--- a/transport/dispatcher/announce.go
+++ b/transport/dispatcher/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
@@ -23,7 +24,7 @@
 // begin counts a placed generation.
 func (d *Dispatcher) begin(a Ask, p Place) {
 	now := d.Clock.Now()
-	home, _ := d.Hosts.SteadyHome(homeKey(a.Service))
+	home, _ := d.home(a.Service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.active[a.ID] = activeRun{ask: a, engine: p.Engine.ID, begins: now}
@@ -70,19 +71,25 @@
 // moved returns the services whose home is another one than was announced to.
 func (d *Dispatcher) moved() (map[string]tracker.Member, bool) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	if len(d.active) == 0 {
 		d.announcing = false
 		clear(d.announced)
+		d.mu.Unlock()
 		return nil, false
 	}
+	announced := maps.Clone(d.announced)
+	d.mu.Unlock()
 	moved := make(map[string]tracker.Member)
-	for service, announced := range d.announced {
-		if home, _ := d.Hosts.SteadyHome(homeKey(service)); home.Name != announced {
+	for service, last := range announced {
+		if home, _ := d.home(service); home.Name != last {
 			moved[service] = home
-			d.announced[service] = home.Name
 		}
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, home := range moved {
+		d.announced[service] = home.Name
+	}
 	return moved, true
 }
 
@@ -99,7 +106,7 @@
 		}
 	}
 	d.mu.Unlock()
-	if _, own := d.Hosts.SteadyHome(homeKey(service)); own {
+	if _, own := d.home(service); own {
 		d.desk(service).learn(runs)
 		return
 	}
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -36,6 +36,9 @@
 	answerSlack = 250 * time.Millisecond
 	// homePause is how long a home that did not answer is not asked.
 	homePause = time.Second
+	// redirection is how long a host follows the word of an earlier home on where the home is. Until then membership
+	// has told all hosts.
+	redirection = 2 * time.Second
 )
 
 // The states of a request at its home.
@@ -43,6 +46,7 @@
 	stateWaiting = iota
 	statePlaced
 	stateRefused
+	stateMoved
 )
 
 // Step is how far a generation is.
@@ -140,6 +144,7 @@
 // Hosts are the hosts that a home is chosen from.
 type Hosts interface {
 	SteadyHome(key string) (tracker.Member, bool)
+	Serving() []tracker.Member
 	// HasMajority tells whether this host is in touch with most of the others. A host that is not may not be the only
 	// one that takes itself for a home.
 	HasMajority() bool
@@ -164,9 +169,10 @@
 // Dispatcher finds places, as home of services and by asking other homes.
 type Dispatcher struct {
 	Options
-	mu     sync.Mutex
-	desks  map[string]*desk
-	silent map[string]time.Time
+	mu         sync.Mutex
+	desks      map[string]*desk
+	silent     map[string]time.Time
+	redirected map[string]redirect
 	// active are this host's generations under way, announced the home of each service that knows of them.
 	active     map[string]activeRun
 	announced  map[string]string
@@ -177,7 +183,7 @@
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{
 		Options: o, desks: make(map[string]*desk), silent: make(map[string]time.Time),
-		active: make(map[string]activeRun), announced: make(map[string]string),
+		redirected: make(map[string]redirect), active: make(map[string]activeRun), announced: make(map[string]string),
 	}
 	messenger.Handle(o.Messenger, kindPlace, d.answerPlace)
 	messenger.Handle(o.Messenger, kindTell, d.answerTell)
@@ -185,6 +191,41 @@
 	return d
 }
 
+// redirect is an earlier home's word on where the home of a service is.
+type redirect struct {
+	home  tracker.Member
+	until time.Time
+}
+
+// home returns the host to ask for places, and whether it is the own one.
+func (d *Dispatcher) home(service string) (home tracker.Member, own bool) {
+	home, own = d.Hosts.SteadyHome(homeKey(service))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r, ok := d.redirected[service]; ok && d.Clock.Now().Before(r.until) {
+		return r.home, false
+	}
+	return home, own
+}
+
+func (d *Dispatcher) isRedirected(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Clock.Now().Before(d.redirected[service].until)
+}
+
+// follow takes an earlier home's word on where the home is.
+func (d *Dispatcher) follow(service, name string) {
+	for _, m := range d.Hosts.Serving() {
+		if m.Name == name {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.redirected[service] = redirect{home: m, until: d.Clock.Now().Add(redirection)}
+			return
+		}
+	}
+}
+
 func homeKey(service string) string { return "engines/" + service }
 
 // isHome tells whether this host places the generations of a service for all.
@@ -235,6 +276,8 @@
 			continue
 		}
 		switch answer.State {
+		case stateMoved:
+			d.follow(a.Service, answer.Home)
 		case stateRefused:
 			return Place{}, &RefusedError{Reason: answer.Reason, Wait: milliseconds(answer.Wait)}
 		case statePlaced:
@@ -265,7 +308,7 @@
 
 // ask asks the home, or decides alone while the home is silent.
 func (d *Dispatcher) ask(ctx context.Context, a Ask) (wire.PlaceAnswer, error) {
-	home, own := d.Hosts.SteadyHome(homeKey(a.Service))
+	home, own := d.home(a.Service)
 	if own || d.isSilent(home.Name) {
 		return d.desk(a.Service).poll(ctx, a, d.DataCentre, !own || !d.Hosts.HasMajority()), nil
 	}
@@ -284,10 +327,14 @@
 	return wire.PlaceAsk{
 		Service: a.Service, ID: a.ID, Zone: d.DataCentre, Prompt: a.Prompt, Hint: a.Hint, Max: a.MaxOutput, Rank: a.Priority,
 		Age: -left(a.Arrived), Ontime: left(a.OnTime), Latest: left(a.Latest),
+		Sent: d.isRedirected(a.Service),
 	}
 }
 
 func (d *Dispatcher) answerPlace(ctx context.Context, w wire.PlaceAsk) (wire.PlaceAnswer, error) {
+	if home, own := d.Hosts.SteadyHome(homeKey(w.Service)); !own && !w.Sent {
+		return wire.PlaceAnswer{State: stateMoved, Home: home.Name}, nil
+	}
 	now := d.Clock.Now()
 	a := Ask{
 		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank,
@@ -299,7 +346,7 @@
 // Tell tells the home how far a generation is.
 func (d *Dispatcher) Tell(p Progress) {
 	d.note(p)
-	home, own := d.Hosts.SteadyHome(homeKey(p.Service))
+	home, own := d.home(p.Service)
 	d.mu.Lock()
 	local := d.desks[p.Service]
 	d.mu.Unlock()
