--- /dev/null
+++ b/parts/coordination/enroller/enroller_test.go
@@ -0,0 +1,80 @@
+package enroller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func endpoint(id string, sequence int64) Endpoint {
+	return Endpoint{ID: id, Service: "desk", Sequence: sequence, Born: epoch}
+}
+
+func ids(e *Enroller) []string {
+	list := []string{}
+	for _, ep := range e.All() {
+		list = append(list, ep.ID)
+	}
+	return list
+}
+
+func TestAnOlderAnnouncementChangesNothing(t *testing.T) {
+	e := New()
+	leaving := endpoint("a", 5)
+	leaving.Leaving = true
+	assert.True(t, e.Put(leaving, 10))
+	assert.False(t, e.Put(endpoint("a", 4), 11), "an old heartbeat that arrives late")
+	assert.False(t, e.Put(endpoint("a", 6), 9), "a record that was read before")
+	assert.True(t, e.All()[0].Leaving)
+}
+
+func TestANewIncarnationCountsItsAnnouncementsAnew(t *testing.T) {
+	e := New()
+	e.Put(endpoint("a", 50), 10)
+	reborn := endpoint("a", 1)
+	reborn.Born = epoch.Add(time.Second)
+	assert.True(t, e.Put(reborn, 11))
+	assert.False(t, e.Put(endpoint("a", 51), 12), "the incarnation before")
+}
+
+func TestAnEntryThatGoesWhileTheStoreAnswersIsGoneAtOnce(t *testing.T) {
+	e := New()
+	e.Put(endpoint("a", 1), 1)
+	e.Remove(epoch, "a", 2)
+	assert.Empty(t, ids(e))
+	assert.False(t, e.Put(endpoint("a", 2), 1), "a record from before the removal")
+}
+
+func TestAnEntryThatLapsesInAnOutageIsKeptUntilShortlyAfterTheReturn(t *testing.T) {
+	e := New()
+	e.Put(endpoint("a", 1), 1)
+	e.Put(endpoint("b", 1), 2)
+	e.Lost()
+	e.Regained(epoch)
+	e.Remove(epoch.Add(100*time.Millisecond), "a", 3)
+	e.Remove(epoch.Add(100*time.Millisecond), "b", 4)
+	assert.Equal(t, []string{"a", "b"}, ids(e))
+	assert.True(t, e.Put(endpoint("a", 2), 5), "a announces itself again")
+	assert.Empty(t, e.Expire(epoch.Add(Grace-time.Millisecond)))
+	assert.Equal(t, []string{"b"}, e.Expire(epoch.Add(Grace)))
+	assert.Equal(t, []string{"a"}, ids(e))
+}
+
+func TestAFullReadingDropsWhatItDoesNotFind(t *testing.T) {
+	e := New()
+	e.Put(endpoint("a", 1), 1)
+	e.Put(endpoint("b", 1), 2)
+	e.Retain(epoch, map[string]bool{"b": true}, 9)
+	assert.Equal(t, []string{"b"}, ids(e))
+}
+
+func TestAnEntryOverwrittenByNonsenseNamesNoEndpoint(t *testing.T) {
+	e := New()
+	e.Put(endpoint("a", 1), 1)
+	e.Spoil("a", 2)
+	assert.Empty(t, ids(e))
+	assert.True(t, e.Put(endpoint("a", 2), 3))
+}
--- /dev/null
+++ b/parts/coordination/packer/packer_test.go
@@ -0,0 +1,191 @@
+package packer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const (
+	capacity = 100_000
+	slots  = 64
+)
+
+func packed() *Packer {
+	p := New(1.5)
+	p.Resize("e", capacity, slots)
+	return p
+}
+
+func job(id string) Job { return Job{ID: id, Prompt: 5000, Hint: 4000, MaxOutput: 8000} }
+
+func fill(p *Packer, now time.Time, spread time.Duration) int {
+	n := 0
+	for p.Peak(now, "e", job("next"), now) <= 1 {
+		p.Add("e", job(fmt.Sprint(n)), now.Add(-time.Duration(n)*spread))
+		n++
+	}
+	return n
+}
+
+func TestRunsOfDifferentAgesPackTighterThanFullReservations(t *testing.T) {
+	full := capacity / (5000 + 8000)
+	assert.Greater(t, fill(packed(), epoch, 400*time.Millisecond), full+2)
+}
+
+func TestAnEngineWithoutAFreeSlotHasNoRoom(t *testing.T) {
+	p := New(1.5)
+	p.Resize("e", capacity, 1)
+	p.Add("e", job("a"), epoch)
+	assert.True(t, math.IsInf(p.Peak(epoch, "e", job("b"), epoch), 1))
+	assert.True(t, math.IsInf(p.Peak(epoch, "unknown", job("b"), epoch), 1))
+}
+
+func TestAFinishedRunFreesItsMemoryAndTeachesItsRatio(t *testing.T) {
+	p := packed()
+	before := p.Peak(epoch, "e", job("b"), epoch)
+	p.Add("e", job("a"), epoch)
+	assert.Greater(t, p.Peak(epoch, "e", job("b"), epoch), before)
+	mean := p.ratios.Mean()
+	p.Finished("a", 8000, 8*time.Second)
+	assert.Zero(t, p.Runs("e"))
+	assert.Greater(t, p.ratios.Mean(), mean)
+}
+
+func TestARunOfAnotherHostIsCountedFromTheReportAndDroppedWithIt(t *testing.T) {
+	p := packed()
+	p.Observe(epoch, "e", 64, []Observed{{ID: "foreign", Tokens: 6000, Events: 10}})
+	assert.Equal(t, 1, p.Runs("e"))
+	p.Observe(epoch.Add(settle+time.Second), "e", 64, nil)
+	assert.Zero(t, p.Runs("e"))
+}
+
+func TestAReportThatLagsDoesNotDropARunThatJustBegan(t *testing.T) {
+	p := packed()
+	p.Add("e", job("a"), epoch)
+	p.Observe(epoch.Add(time.Second), "e", 64, nil)
+	assert.Equal(t, 1, p.Runs("e"))
+}
+
+func TestARunWithoutAnEndIsDroppedWhenItIsLongOverdue(t *testing.T) {
+	p := packed()
+	p.Add("e", job("a"), epoch)
+	p.Expire(epoch.Add(10 * time.Second))
+	assert.Equal(t, 1, p.Runs("e"))
+	p.Expire(epoch.Add(20 * time.Second))
+	assert.Zero(t, p.Runs("e"))
+}
+
+func TestRatiosAreLearnedFromFinishedRuns(t *testing.T) {
+	r := NewRatios()
+	assert.InDelta(t, 0.5, r.Survival(1), 0.05)
+	for range 500 {
+		r.Learn(0.25)
+	}
+	assert.InDelta(t, 0, r.Survival(0.5), 0.05)
+	assert.InDelta(t, 1, r.Survival(0.1), 0.05)
+	assert.Zero(t, r.Survival(100))
+}
+
+// replayed is what a burst showed: the memory in use and how often it was more than there is.
+type replayed struct {
+	used     float64
+	overflow float64
+}
+
+// replay plays a burst: outputs spread widely around their hints, requests come faster than they can be taken for 20 s,
+// and each is taken as soon as fits allows.
+func replay(p *Packer, fits func(now time.Time, j Job, reserved int) bool, reserve func(Job) int) replayed {
+	const rate = 1000.0
+	random := rand.New(rand.NewPCG(3, 4))
+	type live struct {
+		Job
+		begins time.Time
+		output float64
+	}
+	running := make(map[string]live)
+	var r replayed
+	looks := 0.0
+	for ms := 0; ms < 20_000; ms += 20 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		use, reserved := 0.0, 0
+		for id, l := range running {
+			made := now.Sub(l.begins).Seconds() * rate
+			if made >= l.output {
+				delete(running, id)
+				p.Finished(id, int(l.output), time.Duration(l.output/rate*float64(time.Second)))
+				continue
+			}
+			use += float64(l.Prompt) + made
+			reserved += max(reserve(l.Job), l.Prompt+int(made))
+		}
+		if use > capacity {
+			r.overflow++
+		}
+		looks++
+		r.used += use / capacity
+		hint := min(4000*math.Exp(0.5*random.NormFloat64()), 8000)
+		j := Job{ID: fmt.Sprint(ms), Prompt: 2000 + random.IntN(6000), Hint: int(hint), MaxOutput: 8000}
+		output := min(hint*math.Exp(0.5*random.NormFloat64()), 8000)
+		if fits(now, j, reserved) {
+			p.Add("e", j, now)
+			running[j.ID] = live{Job: j, begins: now, output: output}
+		}
+	}
+	return replayed{used: r.used / looks, overflow: r.overflow / looks}
+}
+
+func TestABurstIsPackedTighterThanByFullReservationsAndOverflowsLessThanByHints(t *testing.T) {
+	longest := func(j Job) int { return j.Prompt + j.MaxOutput }
+	hinted := func(j Job) int { return j.Prompt + j.Hint }
+	bare := func(j Job) int { return j.Prompt }
+	byReservation := func(of func(Job) int) replayed {
+		return replay(packed(), func(_ time.Time, j Job, reserved int) bool { return reserved+of(j) <= capacity }, of)
+	}
+	full, hints, prompts := byReservation(longest), byReservation(hinted), byReservation(bare)
+	p := packed()
+	own := replay(p, func(now time.Time, j Job, _ int) bool { return p.Peak(now, "e", j, now) <= 1 }, bare)
+	t.Logf("memory used, and share of time with too little: longest output %.2f %.3f, hint %.2f %.3f, prompt %.2f %.3f, packer %.2f %.3f",
+		full.used, full.overflow, hints.used, hints.overflow, prompts.used, prompts.overflow, own.used, own.overflow)
+	assert.Greater(t, own.used, full.used)
+	assert.Greater(t, own.used, hints.used)
+	assert.Less(t, own.overflow, prompts.overflow/2)
+}
+
+func TestPromptsReadTogetherDoNotMakeAReaderEndlesslyFast(t *testing.T) {
+	s := NewReaders()
+	now := epoch
+	for i := range 20 {
+		a, b := fmt.Sprint("a", i), fmt.Sprint("b", i)
+		s.Assign(now, "r", a, 5000)
+		s.Assign(now, "r", b, 5000)
+		now = now.Add(200 * time.Millisecond)
+		s.Done(now, a)
+		s.Done(now, b) // both came in one step
+	}
+	assert.InDelta(t, 50_000, s.Speed("r"), 5_000)
+}
+
+func TestTheBacklogShrinksAsTimePassesAndWithEachPromptRead(t *testing.T) {
+	s := NewReaders()
+	s.Assign(epoch, "r", "a", 1000)
+	s.Assign(epoch, "r", "b", 1000)
+	first := s.Backlog(epoch, "r")
+	assert.Less(t, s.Backlog(epoch.Add(20*time.Millisecond), "r"), first)
+	s.Done(epoch.Add(50*time.Millisecond), "a")
+	assert.Less(t, s.Backlog(epoch.Add(50*time.Millisecond), "r"), first)
+	s.Drop("b")
+	assert.Zero(t, s.Backlog(epoch.Add(50*time.Millisecond), "r"))
+}
+
+func TestAPromptThatIsNeverReadDoesNotBlockItsReader(t *testing.T) {
+	s := NewReaders()
+	s.Assign(epoch, "r", "a", 1_000_000)
+	assert.Zero(t, s.Backlog(epoch.Add(lostAfter+1), "r"))
+}
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -49,7 +49,8 @@
 	farReader = 30 * time.Millisecond
 	// reportPeriod is the time between questions for engines' reports, while requests come.
 	reportPeriod = 2 * time.Second
-	// warmUp is how long a new home reserves in full: runs that started shortly before are not in any report yet.
+	// warmUp is how long a new home asks engines for free memory first: runs that started shortly before are not in any
+	// report yet.
 	warmUp = 1500 * time.Millisecond
 	// warmPeriod is the time between questions for reports while a home is new.
 	warmPeriod = 500 * time.Millisecond
@@ -376,14 +377,40 @@
 	}
 	k.packer.Add(e.ID, job, begins)
 	t.taking = true
-	tokens := t.ask.Prompt + holdMargin*service.Engine.Stride
+	w := want{tokens: t.ask.Prompt + holdMargin*service.Engine.Stride, lifetime: service.Engine.MaxHold}
 	if t.alone || now.Sub(k.since) < warmUp {
-		tokens = estimator.Need(estimator.Demand{Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput})
+		w.proof = estimator.Need(estimator.Demand{Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput})
 	}
-	go k.take(t, e, r, tokens, service.Engine.MaxHold)
+	go k.take(t, e, r, w)
 	return true
 }
 
+// want is a hold to be taken.
+type want struct {
+	tokens   int
+	lifetime time.Duration
+	// proof is the memory that must be free at that moment, 0 if the home knows enough to do without the question. It is
+	// not kept: what is reserved and unused has the generations of others preempted.
+	proof int
+}
+
+// hold takes a hold at an engine.
+func (k *desk) hold(e *enlister.Endpoint, w want) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+	defer cancel()
+	engines := k.dispatcher.Engines
+	if w.proof > w.tokens {
+		proof, err := engines.Hold(ctx, e.Address, w.proof, w.lifetime)
+		if err != nil {
+			return "", err
+		}
+		if err := engines.Drop(ctx, e.Address, proof); err != nil {
+			return "", err
+		}
+	}
+	return engines.Hold(ctx, e.Address, w.tokens, w.lifetime)
+}
+
 // pickEngine returns the decode engine that the request fills least, nil if none has room. The caller holds mu.
 func (k *desk) pickEngine(now time.Time, t *ticket) *enlister.Endpoint {
 	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
@@ -395,7 +422,7 @@
 			continue
 		}
 		peak := k.packer.Peak(now, e.ID, job, now)
-		if peak > 1 && !t.alone {
+		if peak > 1 {
 			continue
 		}
 		cost := peak + 0.02*random.Float64()
@@ -435,12 +462,10 @@
 }
 
 // take gets the hold for a placed request; without one the request waits on.
-func (k *desk) take(t *ticket, e, r *enlister.Endpoint, tokens int, lifetime time.Duration) {
+func (k *desk) take(t *ticket, e, r *enlister.Endpoint, w want) {
 	d := k.dispatcher
-	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
 	begun := d.Clock.Now()
-	hold, err := d.Engines.Hold(ctx, e.Address, tokens, lifetime)
-	cancel()
+	hold, err := k.hold(e, w)
 	now := d.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -462,7 +487,7 @@
 	if len(k.placed) > placings {
 		k.placed = k.placed[1:]
 	}
-	answer := wire.PlaceAnswer{State: statePlaced, Engine: e.ID, Hold: hold, Until: int(begun.Add(lifetime).Sub(now).Milliseconds())}
+	answer := wire.PlaceAnswer{State: statePlaced, Engine: e.ID, Hold: hold, Until: int(begun.Add(w.lifetime).Sub(now).Milliseconds())}
 	if r != nil {
 		answer.Reader = r.ID
 	}
