Say that rules are in force everywhere only of every host that any host has met

Cause: a publication was confirmed by the hosts that its own host had met. Change: a host makes itself known to a seed before it serves; each host asked for its version names those it knows, and they are asked too. Found by the same test: closing a host whose session with another was still being opened panicked (a nil connection); metrics now have a registry for each host, not one for the process. Ruled out: waiting in the demo, which leaves an operator with the same half answer.

--- a/parts/coordination/packer/packer_test.go
+++ b/parts/coordination/packer/packer_test.go
@@ -14,7 +14,7 @@
 
 const (
 	capacity = 100_000
-	slots  = 64
+	slots    = 64
 )
 
 func packed() *Packer {
--- a/protocol/encoder/gossip.go
+++ b/protocol/encoder/gossip.go
@@ -11,11 +11,29 @@
 
 // Gossip returns m as a wire type.
 func Gossip(m tracker.Message) wire.Gossip {
-	w := wire.Gossip{Answer: m.Answer, Origin: host(m.From), Rules: m.Rules}
-	for _, u := range m.Updates {
-		w.Updates = append(w.Updates, host(u))
+	return wire.Gossip{Answer: m.Answer, Origin: host(m.From), Rules: m.Rules, Updates: Hosts(m.Updates)}
+}
+
+// Hosts returns members as wire types.
+func Hosts(members []tracker.Member) []wire.Host {
+	var hosts []wire.Host
+	for _, m := range members {
+		hosts = append(hosts, host(m))
 	}
-	return w
+	return hosts
+}
+
+// Members returns wire hosts as members.
+func Members(hosts []wire.Host) ([]tracker.Member, error) {
+	var members []tracker.Member
+	for _, h := range hosts {
+		m, err := member(h)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, m)
+	}
+	return members, nil
 }
 
 func host(m tracker.Member) wire.Host {
@@ -31,15 +49,11 @@
 	if err != nil {
 		return tracker.Message{}, err
 	}
-	m := tracker.Message{Answer: w.Answer, From: from, Rules: w.Rules}
-	for _, u := range w.Updates {
-		update, err := member(u)
-		if err != nil {
-			return tracker.Message{}, err
-		}
-		m.Updates = append(m.Updates, update)
+	updates, err := Members(w.Updates)
+	if err != nil {
+		return tracker.Message{}, err
 	}
-	return m, nil
+	return tracker.Message{Answer: w.Answer, From: from, Rules: w.Rules, Updates: updates}, nil
 }
 
 func member(w wire.Host) (tracker.Member, error) {
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -547,6 +547,9 @@
 
 // RulesHave answers RulesAsk.
 type RulesHave struct {
+	// Hosts are those that the answering host knows.
+	Hosts []Host `json:"hosts"`
+
 	// Version corresponds to the JSON schema field "version".
 	Version uint64 `json:"version"`
 }
--- a/transport/assembler/assembler.go
+++ b/transport/assembler/assembler.go
@@ -217,6 +217,7 @@
 	if err != nil {
 		return err
 	}
+	h.gossiper.Join(context.Background())
 	h.operators, err = listener.Listen(listener.Options{
 		Name: "operators", Address: h.cfg.Operators, TLS: h.cfg.TLS,
 		Routes: overseer.New(overseer.Options{
--- /dev/null
+++ b/transport/assembler/joining_test.go
@@ -0,0 +1,85 @@
+package assembler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/hostlister"
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+	"github.com/hornbeamspan/hornbeamspan/lab/logkeeper"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
+	"github.com/hornbeamspan/hornbeamspan/transport/listener"
+	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+)
+
+// starts is the number of systems that are started, each with another order and other seeds.
+const starts = 50
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+func startHost(t *testing.T, name string, log, hosts netip.AddrPort, seeds []netip.AddrPort, seed uint64) *Host {
+	h, err := Start(Config{
+		Name: name, DataCentre: "z", Callers: anyPort, Operators: anyPort, Peers: anyPort, Seeds: seeds, Log: log, Hosts: hosts,
+		PeerKey: "k", OperatorKey: "o", Policy: "book", OnceStreams: 4, OnceHorizon: time.Hour, HostPeriod: time.Second,
+		LoadPeriod: time.Second, SlotService: time.Second, HeartbeatPeriod: time.Second, SuspicionTimeout: 3 * time.Second,
+		DrainTimeout: time.Second, Seed: seed,
+	}, hclog.NewNullLogger())
+	require.NoError(t, err)
+	return h
+}
+
+// publishAt publishes the first rules at a host.
+func publishAt(t *testing.T, h *Host) overseer.Verdict {
+	body, err := json.Marshal(overseer.Publication{ID: "first", Author: "test", Text: launcher.Rules(launcher.DefaultTargets)})
+	require.NoError(t, err)
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/rules", h.Operators()), bytes.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer o")
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var v overseer.Verdict
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&v))
+	return v
+}
+
+func TestFirstRulesAreConfirmedByEveryHostWhateverTheOrderOfStart(t *testing.T) {
+	for seed := range uint64(starts) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		log, err := listener.Listen(listener.Options{
+			Name: "log", Address: anyPort, Routes: logkeeper.New(logkeeper.Options{Rate: limiter.Rate{PerSecond: 400, Burst: 100}}).Routes(),
+		})
+		require.NoError(t, err)
+		list, err := listener.Listen(listener.Options{Name: "hosts", Address: anyPort, Routes: hostlister.New(0).Routes()})
+		require.NoError(t, err)
+		var hosts []*Host
+		for i := range 4 {
+			var seeds []netip.AddrPort
+			if i > 0 {
+				seeds = append(seeds, hosts[random.IntN(len(hosts))].Peers())
+			}
+			hosts = append(hosts, startHost(t, fmt.Sprintf("host-%d", i), log.Address(), list.Address(), seeds, seed))
+		}
+		v := publishAt(t, hosts[random.IntN(len(hosts))])
+		assert.Equal(t, overseer.Accepted, v.Verdict, "seed %d", seed)
+		assert.Len(t, v.InForce, len(hosts), "seed %d: %+v", seed, v)
+		for _, h := range hosts {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			h.Close(ctx)
+			cancel()
+		}
+		log.Close()
+		list.Close()
+	}
+}
--- a/transport/eventer/eventer.go
+++ b/transport/eventer/eventer.go
@@ -45,6 +45,7 @@
 	ReleaseFailed   = Event{610, "engine memory not released"}
 	SplitChosen     = Event{611, "split of engines chosen"}
 	OrderFailed     = Event{612, "order failed"}
+	NotJoined       = Event{404, "no seed reached"}
 	HomeSilent      = Event{403, "home of a service silent"}
 	AttemptFailed   = Event{701, "attempt failed"}
 	Superseded      = Event{702, "attempt superseded by a resend"}
@@ -60,7 +61,7 @@
 	Started, Draining, Stopped, LibraryNote, LogUnreachable, LogRegained, StreamExpired, RecordDamaged,
 	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
 	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, EndpointChanged, EndpointGone, StageOrdered,
-	DutyChanged, ReleaseFailed, SplitChosen, OrderFailed, HomeSilent, AttemptFailed, Superseded, RequestEnded, SendFailed, LinesDropped, Reloaded, AuditLost,
+	DutyChanged, ReleaseFailed, SplitChosen, OrderFailed, NotJoined, HomeSilent, AttemptFailed, Superseded, RequestEnded, SendFailed, LinesDropped, Reloaded, AuditLost,
 }
 
 // New returns a logger that writes lines to w, as JSON if json is set, and takes over go-zero's own log.
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -191,13 +191,63 @@
 }
 
 func (g *Gossiper) tellVersion(context.Context, wire.RulesAsk) (wire.RulesHave, error) {
-	return wire.RulesHave{Version: g.options.Rules.Version()}, nil
+	return wire.RulesHave{Version: g.options.Rules.Version(), Hosts: encoder.Hosts(g.Members())}, nil
 }
 
-// AskVersion asks a host for its version of the rules.
-func (g *Gossiper) AskVersion(ctx context.Context, m tracker.Member) (uint64, error) {
+// AskVersion asks a host for its version of the rules and for the hosts that it knows.
+func (g *Gossiper) AskVersion(ctx context.Context, m tracker.Member) (uint64, []tracker.Member, error) {
 	have, err := messenger.Call[wire.RulesAsk, wire.RulesHave](ctx, g.options.Messenger, m.Address, kindAsk, wire.RulesAsk{})
-	return have.Version, err
+	if err != nil {
+		return 0, nil, err
+	}
+	hosts, err := encoder.Members(have.Hosts)
+	return have.Version, hosts, err
+}
+
+const (
+	// joinTimeout is how long a host tries to make itself known to a seed before it serves all the same.
+	joinTimeout = time.Second
+	// joinPause is the time between two tries.
+	joinPause = 20 * time.Millisecond
+)
+
+// Join makes this host known to one of its seeds, so that no host serves of which the others know nothing. It gives up
+// after joinTimeout: seeds may be stale or start later.
+func (g *Gossiper) Join(ctx context.Context) {
+	seeds := slices.DeleteFunc(slices.Clone(g.options.Seeds), func(a netip.AddrPort) bool { return a == g.options.Self.Address })
+	if len(seeds) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	joined := make(chan struct{}, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			if g.joinAt(ctx, seed) {
+				joined <- struct{}{}
+			}
+		}()
+	}
+	select {
+	case <-joined:
+	case <-ctx.Done():
+		eventer.Warn(g.options.Logs, eventer.NotJoined, "seeds", len(seeds), "after", joinTimeout)
+	}
+}
+
+// joinAt tries until the seed has taken this host in or ctx ends.
+func (g *Gossiper) joinAt(ctx context.Context, seed netip.AddrPort) bool {
+	hello := encoder.Gossip(tracker.Message{From: g.Self(), Rules: g.options.Rules.Version()})
+	for ctx.Err() == nil {
+		if _, err := messenger.Call[wire.Gossip, wire.Empty](ctx, g.options.Messenger, seed, kindGossip, hello); err == nil {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinPause):
+		}
+	}
+	return false
 }
 
 // Leave tells others that this host leaves.
--- a/transport/messenger/messenger.go
+++ b/transport/messenger/messenger.go
@@ -142,7 +142,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.sessions {
-		_ = s.conn.CloseNow()
+		s.close()
 	}
 	select {
 	case <-m.done:
--- a/transport/messenger/session.go
+++ b/transport/messenger/session.go
@@ -38,6 +38,17 @@
 	}
 }
 
+// close ends the session. One that is still being opened ends with the messenger's context.
+func (s *session) close() {
+	select {
+	case <-s.ready:
+		if s.conn != nil {
+			_ = s.conn.CloseNow()
+		}
+	default:
+	}
+}
+
 func (s *session) call(ctx context.Context, kind string, body []byte) (wire.Envelope, error) {
 	number, answer := s.expect()
 	defer s.abandon(number)
--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -22,7 +24,9 @@
 
 // New returns a Meter whose metrics start with prefix.
 func New(prefix string) *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         prefix,
 		CachedReporter: reporter,
--- a/transport/overseer/overseer.go
+++ b/transport/overseer/overseer.go
@@ -243,34 +243,59 @@
 	return v
 }
 
-// spread waits until the hosts have the version of v in force, and sorts them into v.
+// spread waits until the hosts have the version of v in force, and sorts them into v. Each host is asked for those that
+// it knows, too: a version is in force everywhere only if no host is left out that any of them has met.
 func (o *Overseer) spread(ctx context.Context, v *Verdict) {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	note := func(name string, ok bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		if ok {
-			v.InForce = append(v.InForce, name)
-			return
-		}
-		v.Behind = append(v.Behind, name)
+	self := o.options.Hosts.Self().Name
+	s := &spreading{overseer: o, verdict: v, asked: map[string]bool{self: true}}
+	s.note(self, o.options.Rules.AwaitVersion(ctx, v.Version) >= v.Version)
+	s.askAll(ctx, o.options.Hosts.Members())
+	s.wait.Wait()
+}
+
+// spreading is the asking of all hosts for one version.
+type spreading struct {
+	overseer *Overseer
+	wait     sync.WaitGroup
+	mu       sync.Mutex
+	verdict  *Verdict
+	asked    map[string]bool
+}
+
+func (s *spreading) note(name string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok {
+		s.verdict.InForce = append(s.verdict.InForce, name)
+		return
 	}
-	note(o.options.Hosts.Self().Name, o.options.Rules.AwaitVersion(ctx, v.Version) >= v.Version)
-	for _, m := range o.options.Hosts.Members() {
-		if m.State != tracker.Dead {
-			wait.Go(func() { note(m.Name, o.hasVersion(ctx, m, v.Version)) })
+	s.verdict.Behind = append(s.verdict.Behind, name)
+}
+
+// askAll asks every host that was not asked yet.
+func (s *spreading) askAll(ctx context.Context, members []tracker.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range members {
+		if m.State == tracker.Dead || s.asked[m.Name] {
+			continue
 		}
+		s.asked[m.Name] = true
+		s.wait.Go(func() { s.note(m.Name, s.ask(ctx, m)) })
 	}
-	wait.Wait()
 }
 
-func (o *Overseer) hasVersion(ctx context.Context, m tracker.Member, version uint64) bool {
+// ask asks a host until it has the version.
+func (s *spreading) ask(ctx context.Context, m tracker.Member) bool {
 	for {
-		if have, err := o.options.Hosts.AskVersion(ctx, m); err == nil && have >= version {
-			return true
+		have, known, err := s.overseer.options.Hosts.AskVersion(ctx, m)
+		if err == nil {
+			s.askAll(ctx, known)
+			if have >= s.verdict.Version {
+				return true
+			}
 		}
 		select {
 		case <-ctx.Done():
