Know slow engines by the pace of their events

Change: hosts tell the home how fast every six events came; engines too slow for the route's pause are left to late requests; the reading engine is chosen by when it will have read the prompt, not by what it has to do before.

--- a/parts/coordination/packer/packer.go
+++ b/parts/coordination/packer/packer.go
@@ -17,8 +17,10 @@
 	stepLength = 400 * time.Millisecond
 	// firstRate is the output of one run in tokens a second before any run has ended.
 	firstRate = 1000.0
-	// rateWeight is the part that the newest run has in the moving average of rates.
-	rateWeight = 0.2
+	// rateWeight is the part that the newest measurement has in the moving average of rates.
+	rateWeight = 0.3
+	// rateMemory is how long a measured rate stands. An engine that was slow is then given work again.
+	rateMemory = 4 * time.Second
 	// hintWeight is the part that the newest hint has in the moving average of hints.
 	hintWeight = 0.1
 	// settle is how long a run may be missing in an engine's reports after its start: reports lag.
@@ -56,7 +58,9 @@
 	memory int
 	slots  int
 	rate   float64
-	runs   map[string]*run
+	// measured is when the rate was last measured.
+	measured time.Time
+	runs     map[string]*run
 }
 
 // Packer counts the memory of the engines of one service. It is not safe for concurrent use.
@@ -207,8 +211,8 @@
 	delete(p.places, id)
 }
 
-// Finished drops a run that came to its end and learns from it.
-func (p *Packer) Finished(id string, output int, took time.Duration) {
+// Finished drops a run that came to its end and learns from its output.
+func (p *Packer) Finished(id string, output int) {
 	e := p.engines[p.places[id]]
 	if e == nil || e.runs[id] == nil {
 		return
@@ -216,12 +220,32 @@
 	if output > 0 {
 		p.ratios.Learn(float64(output) / max(1, e.runs[id].hint))
 	}
-	if took > 0 && output > 0 {
-		e.rate += rateWeight * (float64(output)/took.Seconds() - e.rate)
-	}
 	p.Remove(id)
 }
 
+// Paced learns the rate of an engine from output that one of its runs made in took.
+func (p *Packer) Paced(now time.Time, id string, output int, took time.Duration) {
+	e := p.engines[p.places[id]]
+	if e == nil || output <= 0 || took <= 0 {
+		return
+	}
+	e.rate += rateWeight * (float64(output)/took.Seconds() - e.rate)
+	e.measured = now
+}
+
+// Pause returns how long an engine takes to make output tokens of one run. A rate that was measured long ago is given
+// up for the usual one.
+func (p *Packer) Pause(now time.Time, name string, output int) time.Duration {
+	e := p.engines[name]
+	if e == nil {
+		return 0
+	}
+	if now.Sub(e.measured) > rateMemory && e.rate < p.Rate() {
+		e.rate = p.Rate()
+	}
+	return time.Duration(float64(output) / e.rate * float64(time.Second))
+}
+
 // Observe takes an engine's report, with stride tokens in an event: runs of other hosts are counted, and runs that are gone are dropped.
 func (p *Packer) Observe(now time.Time, name string, stride int, seen []Observed) {
 	e := p.engines[name]
--- a/parts/coordination/packer/packer_test.go
+++ b/parts/coordination/packer/packer_test.go
@@ -53,7 +53,7 @@
 	p.Add("e", job("a"), epoch)
 	assert.Greater(t, p.Peak(epoch, "e", job("b"), epoch), before)
 	mean := p.ratios.Mean()
-	p.Finished("a", 8000, 8*time.Second)
+	p.Finished("a", 8000)
 	assert.Zero(t, p.Runs("e"))
 	assert.Greater(t, p.ratios.Mean(), mean)
 }
@@ -82,6 +82,19 @@
 	assert.Zero(t, p.Runs("e"))
 }
 
+func TestASlowEngineIsKnownByThePaceOfItsRunsAndForgivenLater(t *testing.T) {
+	p := packed()
+	p.Resize("f", capacity, slots)
+	p.Add("e", job("a"), epoch)
+	usual := p.Pause(epoch, "e", 64)
+	for range 10 {
+		p.Paced(epoch, "a", 64, 8*usual)
+	}
+	assert.Greater(t, p.Pause(epoch, "e", 64), 6*usual)
+	assert.Equal(t, usual, p.Pause(epoch, "f", 64))
+	assert.Less(t, p.Pause(epoch.Add(rateMemory+1), "e", 64), 2*usual)
+}
+
 func TestRatiosAreLearnedFromFinishedRuns(t *testing.T) {
 	r := NewRatios()
 	assert.InDelta(t, 0.5, r.Survival(1), 0.05)
@@ -119,7 +132,7 @@
 			made := now.Sub(l.begins).Seconds() * rate
 			if made >= l.output {
 				delete(running, id)
-				p.Finished(id, int(l.output), time.Duration(l.output/rate*float64(time.Second)))
+				p.Finished(id, int(l.output))
 				continue
 			}
 			use += float64(l.Prompt) + made
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -401,6 +401,9 @@
 	// Ontime corresponds to the JSON schema field "ontime".
 	Ontime int `json:"ontime"`
 
+	// Pause is the longest between two events for an answer in time.
+	Pause int `json:"pause"`
+
 	// Prompt corresponds to the JSON schema field "prompt".
 	Prompt int `json:"prompt"`
 
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -45,6 +45,8 @@
 	ownReading = 500 * time.Millisecond
 	// farPenalty is the share of an engine's memory that another data centre counts for: bytes between them are dear.
 	farPenalty = 0.1
+	// pauseShare is the part of the longest pause that events may take at the measured pace: it varies.
+	pauseShare = 0.8
 	// farReader is the work that a reading engine of another data centre counts for: moving KV cache is dear.
 	farReader = 30 * time.Millisecond
 	// reportPeriod is the time between questions for engines' reports, while requests come.
@@ -190,8 +192,10 @@
 		k.full[p.Engine] = now.Add(refusedPause)
 	case Began:
 		k.packer.Began(p.ID, now)
+	case Paced:
+		k.packer.Paced(now, p.ID, p.Output, p.Took)
 	case Ended:
-		k.packer.Finished(p.ID, p.Output, p.Took)
+		k.packer.Finished(p.ID, p.Output)
 		k.sizes.ended++
 	case Refused:
 		k.full[p.Engine] = now.Add(refusedPause)
@@ -359,11 +363,11 @@
 	if !ok || service.Engine == nil {
 		return false
 	}
-	e := k.pickEngine(now, t)
+	e := k.pickEngine(now, t, service.Engine.Stride)
 	if e == nil {
 		return false
 	}
-	r, ok := k.pickReader(now, e)
+	r, ok := k.pickReader(now, e, t.ask.Prompt)
 	if !ok || (r == nil && now.Before(k.reading[e.ID])) {
 		return false
 	}
@@ -411,16 +415,23 @@
 	return engines.Hold(ctx, e.Address, w.tokens, w.lifetime)
 }
 
-// pickEngine returns the decode engine that the request fills least, nil if none has room. The caller holds mu.
-func (k *desk) pickEngine(now time.Time, t *ticket) *enlister.Endpoint {
+// pickEngine returns the decode engine that the request fills least, nil if none has room. An engine whose events come
+// too slowly for an answer in time is left to requests that are late, and to times when all are slow. The caller holds mu.
+func (k *desk) pickEngine(now time.Time, t *ticket, stride int) *enlister.Endpoint {
 	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
 	random := k.dispatcher.random()
-	var best *enlister.Endpoint
-	lowest := 0.0
+	var best, slow *enlister.Endpoint
+	var lowest, lowestSlow float64
+	usable, dragging := 0, 0
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
 		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
 			continue
 		}
+		usable++
+		isSlow := t.ask.MaxPause > 0 && k.packer.Pause(now, e.ID, stride) > time.Duration(pauseShare*float64(t.ask.MaxPause))
+		if isSlow {
+			dragging++
+		}
 		peak := k.packer.Peak(now, e.ID, job, now)
 		if peak > 1 {
 			continue
@@ -429,16 +440,22 @@
 		if e.DataCentre != t.zone {
 			cost += farPenalty
 		}
-		if best == nil || cost < lowest {
+		switch {
+		case isSlow && (slow == nil || cost < lowestSlow):
+			slow, lowestSlow = e, cost
+		case !isSlow && (best == nil || cost < lowest):
 			best, lowest = e, cost
 		}
 	}
+	if best == nil && (t.IsLate(now) || dragging == usable) {
+		return slow
+	}
 	return best
 }
 
-// pickReader returns the reading engine with the least work. The result is nil and true if there is none at all, and
-// nil and false if all have enough to do. The caller holds mu.
-func (k *desk) pickReader(now time.Time, decode *enlister.Endpoint) (*enlister.Endpoint, bool) {
+// pickReader returns the reading engine that has the prompt read soonest. The result is nil and true if there is none at
+// all, and nil and false if all have enough to do. The caller holds mu.
+func (k *desk) pickReader(now time.Time, decode *enlister.Endpoint, prompt int) (*enlister.Endpoint, bool) {
 	var best *enlister.Endpoint
 	var least time.Duration
 	any := false
@@ -451,11 +468,12 @@
 		if backlog > readerWindow {
 			continue
 		}
+		ready := backlog + k.readers.Time(e.ID, prompt)
 		if e.DataCentre != decode.DataCentre {
-			backlog += farReader
+			ready += farReader
 		}
-		if best == nil || backlog < least {
-			best, least = e, backlog
+		if best == nil || ready < least {
+			best, least = e, ready
 		}
 	}
 	return best, best != nil || !any
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -58,6 +58,8 @@
 	Read Step = iota
 	// Began means that the first output came.
 	Began
+	// Paced tells how fast a part of the output came.
+	Paced
 	// Ended means that the whole output came.
 	Ended
 	// Failed means that nothing more will come.
@@ -91,7 +93,9 @@
 	Hint      int
 	MaxOutput int
 	Priority  int
-	Arrived   time.Time
+	// MaxPause is the longest pause between two events for an answer within the target.
+	MaxPause time.Duration
+	Arrived  time.Time
 	// OnTime is the last moment to start for an answer within the target, Latest the last one at all.
 	OnTime time.Time
 	Latest time.Time
@@ -326,7 +330,8 @@
 	left := func(t time.Time) int { return int(t.Sub(now).Milliseconds()) }
 	return wire.PlaceAsk{
 		Service: a.Service, ID: a.ID, Zone: d.DataCentre, Prompt: a.Prompt, Hint: a.Hint, Max: a.MaxOutput, Rank: a.Priority,
-		Age: -left(a.Arrived), Ontime: left(a.OnTime), Latest: left(a.Latest),
+		Pause: int(a.MaxPause.Milliseconds()),
+		Age:   -left(a.Arrived), Ontime: left(a.OnTime), Latest: left(a.Latest),
 		Sent: d.isRedirected(a.Service),
 	}
 }
@@ -338,7 +343,8 @@
 	now := d.Clock.Now()
 	a := Ask{
 		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank,
-		Arrived: now.Add(-milliseconds(w.Age)), OnTime: now.Add(milliseconds(w.Ontime)), Latest: now.Add(milliseconds(w.Latest)),
+		MaxPause: milliseconds(w.Pause),
+		Arrived:  now.Add(-milliseconds(w.Age)), OnTime: now.Add(milliseconds(w.Ontime)), Latest: now.Add(milliseconds(w.Latest)),
 	}
 	return d.desk(w.Service).poll(ctx, a, w.Zone, !d.Hosts.HasMajority()), nil
 }
--- a/transport/router/generate.go
+++ b/transport/router/generate.go
@@ -74,7 +74,7 @@
 	}
 	return dispatcher.Ask{
 		Service: j.service.Name, ID: j.request.ID, Prompt: p.Tokens, Hint: p.Hint, MaxOutput: p.MaxOutput,
-		Priority: j.route.Priority, Arrived: j.started, OnTime: j.started.Add(j.route.Target - lead), Latest: latest,
+		Priority: j.route.Priority, MaxPause: j.route.MaxPause, Arrived: j.started, OnTime: j.started.Add(j.route.Target - lead), Latest: latest,
 	}
 }
 
@@ -124,6 +124,9 @@
 		x.learnLead(j.service.Name, x.Clock.Now().Sub(placed))
 		x.tell(j, dispatcher.Progress{Step: dispatcher.Began})
 	}
+	l.paced = func(took time.Duration) {
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Paced, Output: paceEvents * j.service.Engine.Stride, Took: took})
+	}
 	told := false
 	defer func() {
 		if !told {
@@ -151,7 +154,7 @@
 	if settled && l.count > before {
 		told = true
 		output := (l.count - before) * j.service.Engine.Stride
-		x.tell(j, dispatcher.Progress{Step: dispatcher.Ended, Output: output, Took: l.lastAt.Sub(l.firstAt)})
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Ended, Output: output})
 	}
 	return settled, err
 }
--- a/transport/router/stream.go
+++ b/transport/router/stream.go
@@ -17,6 +17,9 @@
 // readSize is the size of the buffer for events in bytes; most events are smaller.
 const readSize = 4 << 10
 
+// paceEvents is the number of events over which the pace of a stream is measured.
+const paceEvents = 6
+
 // events reads whole events from a stream.
 type events struct {
 	r *bufio.Reader
@@ -56,8 +59,11 @@
 	firstAt   time.Time
 	lastAt    time.Time
 	maxPause  time.Duration
-	// began is called at the first event.
+	// began is called at the first event, paced after each paceEvents more.
 	began func()
+	paced func(took time.Duration)
+	// pacedAt is when paced was last called.
+	pacedAt time.Time
 }
 
 func (x *Router) newRelay(w http.ResponseWriter, j *job) *relay {
@@ -109,6 +115,7 @@
 	now := l.router.Clock.Now()
 	if l.count == 0 {
 		l.firstAt = now
+		l.pacedAt = now
 		if l.began != nil {
 			l.began()
 		}
@@ -116,7 +123,10 @@
 		l.maxPause = max(l.maxPause, now.Sub(l.lastAt))
 	}
 	l.lastAt = now
-	l.count++
+	if l.count++; l.paced != nil && l.count%paceEvents == 0 {
+		l.paced(now.Sub(l.pacedAt))
+		l.pacedAt = now
+	}
 	if _, err := l.w.Write(event); err != nil {
 		return &CallerGoneError{Reason: err.Error()}
 	}
