Bound the log without blocking on it; put the configuration's limits in force

Change: lines wait in a bounded queue, are bounded a second, and losses are told; limits hold for new connections.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -38,12 +38,15 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	logs := eventer.New(s.Host, hclog.Info.String(), true, os.Stdout)
+	clock := clockwork.NewRealClock()
+	out := eventer.NewWriter(os.Stdout, clock)
+	defer out.Close()
+	logs := eventer.New(s.Host, hclog.Info.String(), true, out)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	host, err := assembler.StartRouting(routingConfig(s), clockwork.NewRealClock(), logs)
+	host, err := assembler.StartRouting(routingConfig(s), clock, logs)
 	if err != nil {
 		return err
 	}
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -104,6 +104,9 @@
 	drainPoll = 20 * time.Millisecond
 )
 
+// callersName is the name of the listener for callers.
+const callersName = "callers"
+
 // RoutingHost is a running host whose routes come from the platform's store.
 type RoutingHost struct {
 	cfg       RoutingConfig
@@ -131,7 +134,7 @@
 	h.endpoints = enlister.New(cfg.DecodeEndpoint, clock, logs)
 	incarnation := uint64(clock.Now().UnixNano())
 	h.config = configurer.New(configurer.Options{
-		Key: cfg.Topics.ConfigKey, Decode: cfg.DecodeTable, Apply: func(t *matcher.Table) bool { return h.router.SetTable(t) }, Logs: logs,
+		Key: cfg.Topics.ConfigKey, Decode: cfg.DecodeTable, Apply: h.apply, Logs: logs,
 	})
 	h.gossiper = gossiper.New(gossiper.Options{
 		Self: tracker.Member{
@@ -173,6 +176,17 @@
 	return rand.New(rand.NewPCG(incarnation, f.Sum64()))
 }
 
+// apply puts a table in force unless a newer one is.
+func (h *RoutingHost) apply(t *matcher.Table) bool {
+	if !h.router.SetTable(t) {
+		return false
+	}
+	h.front.Limit(listener.Limits{
+		HeaderBytes: t.Limits.MaxHeaderBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout,
+	})
+	return true
+}
+
 // describe returns what the configuration in force says of a service.
 func (h *RoutingHost) describe(name string) (matcher.Service, bool) {
 	t := h.router.Table()
@@ -198,18 +212,21 @@
 func (h *RoutingHost) listen() error {
 	cfg := h.cfg
 	for _, o := range []listener.Options{
-		{Name: "peers", Address: cfg.Peers, Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: h.messenger.Accept}}},
 		{Name: "operators", Address: cfg.Operators, Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: h.meter.Handler.ServeHTTP}}},
 		{Name: "ready", Address: cfg.Ready, Routes: []rest.Route{cfg.ReadyRoute(h.IsReady)}},
 		{Name: "directory", Address: cfg.Directory, Routes: []rest.Route{cfg.DirectoryRoute(h.addresses, h.lifetime())}},
-		{Name: "callers", Address: cfg.Callers, Subtrees: map[string]http.HandlerFunc{"": h.router.ServeHTTP}},
+		{Name: callersName, Address: cfg.Callers, Subtrees: map[string]http.HandlerFunc{"": h.router.ServeHTTP}},
+		// Other hosts may offer a configuration, which needs the listener for callers.
+		{Name: "peers", Address: cfg.Peers, Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: h.messenger.Accept}}},
 	} {
 		l, err := listener.Listen(o)
 		if err != nil {
 			return err
 		}
 		h.listeners = append(h.listeners, l)
-		h.front = l
+		if o.Name == callersName {
+			h.front = l
+		}
 	}
 	return nil
 }
--- a/transport/eventer/bridge.go
+++ b/transport/eventer/bridge.go
@@ -31,8 +31,8 @@
 // Debug logs at debug level.
 func (b *bridge) Debug(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
 
-// Error logs an error.
-func (b *bridge) Error(v any, fields ...logx.LogField) { b.write(hclog.Error, v, fields) }
+// Error logs at debug level: go-zero's client notes each answer from 400 on, of which its callers log what matters.
+func (b *bridge) Error(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
 
 // Info logs at debug level: go-zero's notes are of no interest to operators.
 func (b *bridge) Info(v any, fields ...logx.LogField) { b.write(hclog.Debug, v, fields) }
--- a/transport/listener/listener.go
+++ b/transport/listener/listener.go
@@ -2,13 +2,17 @@
 package listener
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"log"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -25,10 +29,19 @@
 	IdleTimeout = 60 * time.Second
 	// MaxHeaderBytes bounds the headers of one request.
 	MaxHeaderBytes = 32 << 10
+	// acceptPause is the time before another try after a connection could not be accepted.
+	acceptPause = 5 * time.Millisecond
 	// forceQuit keeps go-zero from ending the process by itself after SIGTERM while streams are still open.
 	forceQuit = 10 * 365 * 24 * time.Hour
 )
 
+// Limits bound what a caller may send and how long it may take or stay idle. A limit of 0 stands for the default.
+type Limits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
 // Options are the settings of one listener.
 type Options struct {
 	// Name stands in logs.
@@ -45,9 +58,18 @@
 
 // Listener is a running HTTP server.
 type Listener struct {
-	server  *http.Server
-	address netip.AddrPort
+	options Options
+	handler http.Handler
+	socket  net.Listener
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
 	done    chan struct{}
+	mu      sync.Mutex
+	// servers are one for each limits that were in force; the last one takes new connections.
+	servers []*http.Server
+	intakes []*intake
+	limits  Limits
 }
 
 // Handler returns the routes as one handler. Go-zero's own middlewares stay off: what to refuse is this system's
@@ -91,49 +113,139 @@
 		return nil, errorx.Decorate(err, "listener: unable to listen for %s", o.Name)
 	}
 	l := &Listener{
-		address: socket.Addr().(*net.TCPAddr).AddrPort(),
-		done:    make(chan struct{}),
-		server: &http.Server{
-			Handler:           handler,
-			TLSConfig:         o.TLS,
-			ReadHeaderTimeout: HeaderTimeout,
-			ReadTimeout:       BodyTimeout,
-			IdleTimeout:       IdleTimeout,
-			MaxHeaderBytes:    MaxHeaderBytes,
-			ErrorLog:          log.New(discard{}, "", 0),
-		},
+		options: o, handler: handler, socket: socket, conns: make(chan net.Conn),
+		closed: make(chan struct{}), done: make(chan struct{}),
 	}
-	go l.serve(socket)
+	go l.accept()
+	l.serve(Limits{})
 	return l, nil
 }
 
-// discard drops the HTTP server's notes on broken connections of callers.
-type discard struct{}
+// accept hands connections to the newest server until the socket is closed.
+func (l *Listener) accept() {
+	defer close(l.done)
+	for {
+		conn, err := l.socket.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause) // out of descriptors, or the caller left at once
+			continue
+		}
+		select {
+		case l.conns <- conn:
+		case <-l.closed:
+			_ = conn.Close()
+		}
+	}
+}
 
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
+// Limit puts other limits in force for new connections; those that are open keep theirs.
+func (l *Listener) Limit(limits Limits) {
+	l.mu.Lock()
+	same := limits == l.limits
+	l.mu.Unlock()
+	if !same {
+		l.serve(limits)
+	}
+}
 
-func (l *Listener) serve(socket net.Listener) {
-	defer close(l.done)
-	if l.server.TLSConfig != nil {
-		_ = l.server.ServeTLS(socket, "", "")
-		return
+// serve starts a server with limits in place of the one before.
+func (l *Listener) serve(limits Limits) {
+	server := &http.Server{
+		Handler:           l.handler,
+		TLSConfig:         l.options.TLS,
+		ReadHeaderTimeout: cmp.Or(limits.HeaderTimeout, HeaderTimeout),
+		ReadTimeout:       max(BodyTimeout, limits.HeaderTimeout),
+		IdleTimeout:       cmp.Or(limits.IdleTimeout, IdleTimeout),
+		MaxHeaderBytes:    cmp.Or(limits.HeaderBytes, MaxHeaderBytes),
+		ErrorLog:          log.New(discard{}, "", 0),
+	}
+	in := &intake{listener: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits = limits
+	for _, old := range l.intakes {
+		old.stop()
+	}
+	l.servers = append(l.servers, server)
+	l.intakes = append(l.intakes, in)
+	go func() {
+		if server.TLSConfig != nil {
+			_ = server.ServeTLS(in, "", "") // returns once the intake is closed
+			return
+		}
+		_ = server.Serve(in)
+	}()
+}
+
+// intake is the part of a listener that one server accepts from.
+type intake struct {
+	listener *Listener
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (in *intake) stop() { in.once.Do(func() { close(in.closed) }) }
+
+// Accept returns the next connection.
+func (in *intake) Accept() (net.Conn, error) {
+	select {
+	case conn := <-in.listener.conns:
+		return conn, nil
+	case <-in.closed:
+		return nil, net.ErrClosed
 	}
-	_ = l.server.Serve(socket)
 }
 
+// Close has Accept return. The socket stays open.
+func (in *intake) Close() error {
+	in.stop()
+	return nil
+}
+
+// Addr returns the socket's address.
+func (in *intake) Addr() net.Addr { return in.listener.socket.Addr() }
+
+// discard drops the HTTP server's notes on broken connections of callers.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
 // Address returns the address listened on.
-func (l *Listener) Address() netip.AddrPort { return l.address }
+func (l *Listener) Address() netip.AddrPort { return l.socket.Addr().(*net.TCPAddr).AddrPort() }
 
 // Done is closed once no connection is accepted any more.
 func (l *Listener) Done() <-chan struct{} { return l.done }
 
+func (l *Listener) all() []*http.Server {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.servers)
+}
+
+// refuse closes the socket.
+func (l *Listener) refuse() {
+	l.once.Do(func() { close(l.closed) })
+	_ = l.socket.Close()
+}
+
 // Shutdown closes the socket and waits for requests in flight until ctx ends.
 func (l *Listener) Shutdown(ctx context.Context) error {
-	if err := l.server.Shutdown(ctx); err != nil {
-		return errorx.Decorate(err, "listener: unable to finish all requests")
+	l.refuse()
+	for _, server := range l.all() {
+		if err := server.Shutdown(ctx); err != nil {
+			return errorx.Decorate(err, "listener: unable to finish all requests")
+		}
 	}
 	return nil
 }
 
 // Close ends all connections at once.
-func (l *Listener) Close() { _ = l.server.Close() }
+func (l *Listener) Close() {
+	l.refuse()
+	for _, server := range l.all() {
+		_ = server.Close()
+	}
+}
--- a/transport/listener/listener_test.go
+++ b/transport/listener/listener_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +105,37 @@
 	assert.Equal(t, "whole", <-answers)
 	assert.NoError(t, <-stopped)
 }
+
+func TestNewLimitsHoldForNewConnectionsAndLeaveOpenOnesAlone(t *testing.T) {
+	release := make(chan struct{})
+	l := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Wait") != "" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	waiting, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/", l.Address()), nil)
+	require.NoError(t, err)
+	waiting.Header.Set("Wait", "1")
+	answers := make(chan string, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(waiting)
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		data, _ := io.ReadAll(resp.Body)
+		answers <- string(data)
+	}()
+	l.Limit(Limits{HeaderBytes: 1024})
+	long, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/", l.Address()), nil)
+	require.NoError(t, err)
+	long.Header.Set("Long", strings.Repeat("x", 16<<10))
+	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(long)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+	close(release)
+	assert.Equal(t, "whole", <-answers)
+}
