Play the platform's whole path in tests: a stand-in of its store, engines and services

Found by them: a host's dispatcher went on asking engines for reports after the host was closed; it has an end now.

--- /dev/null
+++ b/internal/daemon/platform_test.go
@@ -0,0 +1,591 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/platformer"
+	"github.com/hornbeamspan/hornbeamspan/platform"
+	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+)
+
+const (
+	// settled bounds the wait for a condition; the conditions hold within milliseconds.
+	settled = 15 * time.Second
+	// poll is the time between two looks at a condition.
+	poll = 10 * time.Millisecond
+	// events is the length of a stream of the stand-in.
+	events = 6
+)
+
+// rig is a small system: hosts, the stand-in of the platform, engines and plain services.
+type rig struct {
+	t        *testing.T
+	store    *platformer.Store
+	prefill  []*platformer.Endpoint
+	decode   []*platformer.Endpoint
+	desk     []*platformer.Endpoint
+	hosts    []*assembler.RoutingHost
+	settings []platform.Settings
+	version  int
+}
+
+// route is a route of the rig's configuration.
+func route(name, prefix, kind, service string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "hostname": "shop.example", "pathPrefix": prefix, "routeType": kind, "timeoutMs": 3000,
+		"targetLatencyMs": 900, "priority": 1, "service": service, "maxAttempts": 2,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+// configure publishes the next configuration, with further routes.
+func (r *rig) configure(more ...map[string]any) int {
+	r.version++
+	engine := map[string]any{
+		"slots": 4, "kvCapacity": 40000, "stride": 64, "kvHoldS": 0.5, "stageSwitchS": 0.2, "holdMs": 2000.0,
+	}
+	generation := map[string]any{"sessionAffinity": true, "gapAimMs": 300, "maxAttempts": 1}
+	resumable := map[string]any{"sessionAffinity": true, "gapAimMs": 300, "resumable": true}
+	r.store.PutJSON("keyed.op", "config", map[string]any{
+		"version": r.version,
+		"routes": append([]map[string]any{
+			route("brief", "/brief/", "streaming", "writer", generation),
+			route("scope", "/scope/", "streaming", "writer", resumable),
+			route("submit", "/submit/", "non_idempotent", "desk", map[string]any{"maxAttempts": 1}),
+			route("lookup", "/lookup/", "idempotent", "desk", nil),
+		}, more...),
+		"services": []map[string]any{
+			{"name": "writer", "healthCheck": "/health", "maxConnections": 100, "engine": engine},
+			{"name": "desk", "healthCheck": "/health", "maxConnections": 100},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 16, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	return r.version
+}
+
+// sizes are the numbers of endpoints of a rig.
+type sizes struct {
+	hosts, prefill, decode, desk int
+}
+
+func newRig(t *testing.T, n sizes) *rig {
+	r := &rig{t: t, store: platformer.NewStore()}
+	t.Cleanup(r.close)
+	engine := platformer.Config{
+		Service: "writer", Slots: 4, Memory: 40000, Events: events, Pace: 5 * time.Millisecond, Switch: 200 * time.Millisecond,
+	}
+	for i := range n.prefill {
+		engine.ID, engine.Zone, engine.Stage = fmt.Sprintf("p%d", i), fmt.Sprintf("zone-%d", i%2), "prefill"
+		r.prefill = append(r.prefill, platformer.Start(r.store, engine))
+	}
+	for i := range n.decode {
+		engine.ID, engine.Zone, engine.Stage = fmt.Sprintf("d%d", i), fmt.Sprintf("zone-%d", i%2), "decode"
+		r.decode = append(r.decode, platformer.Start(r.store, engine))
+	}
+	for i := range n.desk {
+		r.desk = append(r.desk, platformer.Start(r.store, platformer.Config{
+			ID: fmt.Sprintf("s%d", i), Service: "desk", Zone: "zone-0", Slots: 6, Work: 2 * time.Millisecond,
+		}))
+	}
+	for range n.hosts {
+		r.addHost()
+	}
+	return r
+}
+
+// free returns a loopback address with a port that is free now.
+func (r *rig) free() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// addHost writes a settings file as the platform does, and starts a host by it.
+func (r *rig) addHost() *assembler.RoutingHost {
+	var seeds []string
+	for _, s := range r.settings {
+		seeds = append(seeds, fmt.Sprintf("%q", s.Peers))
+	}
+	name := fmt.Sprintf("front-%d", len(r.hosts))
+	text := fmt.Sprintf(`
+nodeName = %q
+zone = "zone-%d"
+ip = "127.0.0.1"
+internalPorts = [7660, %d]
+seeds = [%s]
+somethingNew = true
+[listen]
+front = %q
+ready = %q
+control = %q
+directory = %q
+[limits]
+memoryMb = 512
+maxFds = 1000
+[bounds]
+contactMs = 600
+drainMs = 400
+configApplyMs = 400
+graceS = 2
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 12
+transitMs = 120
+leaseMs = 600
+thawMs = 100
+ttl_max_s = 5
+requireFence = true
+[platform]
+address = %q
+`, name, len(r.hosts)%2, r.free().Port(), strings.Join(seeds, ","), r.free(), r.free(), r.free(), r.free(), r.store.Address())
+	path := filepath.Join(r.t.TempDir(), "local.toml")
+	require.NoError(r.t, os.WriteFile(path, []byte(text), 0o600))
+	s, err := platform.Load(path)
+	require.NoError(r.t, err)
+	logs := eventer.New(name, hclog.Error.String(), false, io.Discard) // takes over the log of go-zero, too
+	h, err := assembler.StartRouting(routingConfig(s), clockwork.NewRealClock(), logs)
+	require.NoError(r.t, err)
+	r.hosts = append(r.hosts, h)
+	r.settings = append(r.settings, s)
+	return h
+}
+
+func (r *rig) close() {
+	for _, h := range r.hosts {
+		select {
+		case <-h.Done():
+		default:
+			h.Close(context.Background())
+		}
+	}
+	for _, e := range append(append(r.prefill, r.decode...), r.desk...) {
+		e.Close()
+	}
+	r.store.Close()
+}
+
+// await waits until check holds.
+func (r *rig) await(what string, check func() bool) {
+	r.t.Helper()
+	require.Eventually(r.t, check, settled, poll, what)
+}
+
+// started publishes a configuration and waits until every host is ready and knows the others.
+func (r *rig) started() {
+	r.configure()
+	r.await("ready hosts", func() bool {
+		for i, h := range r.hosts {
+			if !h.IsReady() || len(r.addresses(i)) != len(r.hosts) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// addresses asks host i which hosts to use.
+func (r *rig) addresses(i int) []string {
+	resp, err := http.Get(fmt.Sprintf("http://%s/api/resolve?name=shop.example&zone=zone-0", r.settings[i].Directory))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(r.t, err)
+	_, list, _ := strings.Cut(string(data), "[")
+	list, _, _ = strings.Cut(list, "]")
+	return strings.Split(list, ",")
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	whole   bool
+	refused bool
+}
+
+var requests int
+
+// request returns a request to host i with the headers that callers send.
+func (r *rig) request(ctx context.Context, i int, method, path, body string) *http.Request {
+	requests++
+	q, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s", r.settings[i].Callers, path), strings.NewReader(body))
+	require.NoError(r.t, err)
+	q.Host = "shop.example"
+	q.Header.Set("Request-Id", fmt.Sprintf("id-%d", requests))
+	q.Header.Set("Deadline-Ms", "2500")
+	if strings.HasPrefix(path, "/brief/") || strings.HasPrefix(path, "/scope/") {
+		q.Header.Set("Model", "m")
+		q.Header.Set("Token-Count", "2000,2000")
+		q.Header.Set("Length-Hint", "300")
+		q.Header.Set("Prompt-Prefix", "ab:200,cd:1800")
+	}
+	return q
+}
+
+func (r *rig) send(q *http.Request) reply {
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), whole: err == nil}
+}
+
+func (r *rig) call(i int, method, path, body string) reply {
+	return r.send(r.request(context.Background(), i, method, path, body))
+}
+
+// runs returns all runs of a request's path at endpoints.
+func runs(endpoints []*platformer.Endpoint) []platformer.Run {
+	var all []platformer.Run
+	for _, e := range endpoints {
+		all = append(all, e.Runs()...)
+	}
+	return all
+}
+
+func TestAHostWithoutAConfigurationAnswersThatNothingRanAndIsNotReady(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 1})
+	got := r.call(0, http.MethodGet, "/lookup/1", "")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.False(t, r.hosts[0].IsReady())
+	r.started()
+	assert.Equal(t, http.StatusOK, r.call(0, http.MethodGet, "/lookup/1", "").status)
+}
+
+func TestTheWholePathServesEachKindOfRequestOnThreeHosts(t *testing.T) {
+	r := newRig(t, sizes{hosts: 3, prefill: 1, decode: 2, desk: 2})
+	r.started()
+	for i := range r.hosts {
+		lookup := r.call(i, http.MethodGet, "/lookup/a%2Fb?x=1", "")
+		assert.Equal(t, http.StatusOK, lookup.status)
+		assert.True(t, strings.HasPrefix(lookup.header.Get("Response-Seal"), "seal."), "the endpoint's headers are passed on")
+		submit := r.call(i, http.MethodPost, "/submit/", "one proposal")
+		assert.Equal(t, http.StatusOK, submit.status)
+		brief := r.call(i, http.MethodPost, "/brief/x", "a long brief")
+		assert.Equal(t, http.StatusOK, brief.status)
+		assert.Equal(t, platformer.Events(events), brief.body)
+		assert.Equal(t, http.StatusNotFound, r.call(i, http.MethodGet, "/nothing/", "").status)
+	}
+	assert.Equal(t, "/lookup/a%2Fb?x=1", runs(r.desk)[0].Path, "the path is not changed")
+	for _, run := range runs(r.decode) {
+		assert.Equal(t, "a long brief", run.Body)
+		assert.Contains(t, run.Source, r.prefill[0].Address().String()+"/p0-handle", "the prompt was read by the prefill engine")
+	}
+	assert.Len(t, runs(r.decode), 3)
+	r.await("memory given back", func() bool {
+		for _, e := range append(r.prefill, r.decode...) {
+			if holds, handles, active := e.Reserved(); holds+handles+active > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestHeadersThatOnlyRoutersSetAreDroppedFromCallers(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1, desk: 1})
+	r.started()
+	q := r.request(context.Background(), 0, http.MethodPost, "/brief/x", "b")
+	for _, name := range []string{"Kv-Source", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-Fetch", "Request-Priority", "Expect-Version"} {
+		q.Header.Set(name, "forged")
+	}
+	q.Header.Set("Connection", "X-Hop")
+	q.Header.Set("X-Hop", "1")
+	q.Header.Set("X-End-To-End", "1")
+	require.Equal(t, http.StatusOK, r.send(q).status)
+	sent := runs(r.decode)[0].Header
+	for name, values := range sent {
+		assert.NotEqual(t, "forged", values[0], name)
+	}
+	assert.Empty(t, sent.Get("X-Hop"))
+	assert.Equal(t, "1", sent.Get("X-End-To-End"))
+	assert.Equal(t, "2000,2000", sent.Get("Token-Count"))
+}
+
+func TestAOnceCallWhoseAnswerIsLostIsNotSentAgainAndNotCalledNotRun(t *testing.T) {
+	for _, fault := range []platformer.Fault{platformer.Lose, platformer.Cut, platformer.Foreign} {
+		r := newRig(t, sizes{hosts: 1, desk: 2})
+		r.started()
+		for _, e := range r.desk {
+			e.SetFault(fault)
+		}
+		got := r.call(0, http.MethodPost, "/submit/", "one invoice")
+		assert.Equal(t, http.StatusBadGateway, got.status, fault)
+		assert.Len(t, runs(r.desk), 1, fault)
+	}
+}
+
+func TestAOnceCallThatAnEndpointRefusesIsCalledNotRun(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 1})
+	r.started()
+	r.desk[0].SetFault(platformer.Refuse)
+	got := r.call(0, http.MethodPost, "/submit/", "one invoice")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Empty(t, runs(r.desk))
+}
+
+func TestAOnceCallGoesOnFromAnEndpointThatCannotBeReached(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	r.desk[0].Close()
+	for range 6 {
+		assert.Equal(t, http.StatusOK, r.call(0, http.MethodPost, "/submit/", "one invoice").status)
+	}
+	assert.Len(t, runs(r.desk), 6)
+}
+
+func TestALookupGoesToAnotherEndpointWithinTheSharedBudget(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	r.desk[0].SetFault(platformer.Fail)
+	r.desk[1].SetFault(platformer.Fail)
+	const calls = 60
+	for range calls {
+		got := r.call(0, http.MethodGet, "/lookup/1", "")
+		assert.Equal(t, http.StatusInternalServerError, got.status, "the endpoint's own answer is passed on")
+		assert.NotEmpty(t, got.header.Get("Response-Seal"))
+	}
+	extra := r.desk[0].Sent() + r.desk[1].Sent() - calls
+	assert.Positive(t, extra)
+	assert.LessOrEqual(t, extra, calls/5+12, "ratio and slack of the settings")
+}
+
+func TestAnEndpointThatLeavesGetsNothingMore(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, desk: 2})
+	r.started()
+	r.desk[0].Leave()
+	time.Sleep(400 * time.Millisecond) // the bound of the settings
+	before := r.desk[0].Sent()
+	for i := range 20 {
+		require.Equal(t, http.StatusOK, r.call(i%2, http.MethodGet, "/lookup/1", "").status)
+	}
+	assert.Equal(t, before, r.desk[0].Sent())
+}
+
+func TestAnEndpointWhoseAddressBelongsToAnotherRunsNothing(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	// The entry of a third endpoint names the address of the first.
+	r.store.PutJSON("keyed.servers", "ghost", map[string]any{
+		"service": "desk", "address": r.desk[0].Address().String(), "zone": "zone-0", "slots": 6, "state": "ready", "sequence": 1,
+	})
+	time.Sleep(400 * time.Millisecond)
+	for range 10 {
+		require.Equal(t, http.StatusOK, r.call(0, http.MethodGet, "/lookup/1", "").status)
+	}
+}
+
+func TestEntriesThatNameNoEndpointAreLeftOut(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 1})
+	r.store.Put("keyed.servers", "nonsense", []byte("\x00\xff{"))
+	r.store.PutJSON("keyed.servers", "partial", map[string]any{"service": "desk", "state": "ready"})
+	r.store.PutJSON("keyed.servers", "odd", map[string]any{
+		"service": "desk", "address": "127.0.0.1:1", "zone": "z", "slots": "six", "state": "ready", "sequence": 1,
+	})
+	r.started()
+	for range 10 {
+		require.Equal(t, http.StatusOK, r.call(0, http.MethodPost, "/submit/", "x").status)
+	}
+}
+
+func TestAConfigurationIsInForceSoonAndNeverGoesBack(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, desk: 1})
+	r.started()
+	added := route("added", "/added/", "idempotent", "desk", nil)
+	r.configure(added)
+	r.await("the new route on both hosts", func() bool {
+		return r.call(0, http.MethodGet, "/added/", "").status == http.StatusOK &&
+			r.call(1, http.MethodGet, "/added/", "").status == http.StatusOK
+	})
+	// An older version that is written late changes nothing.
+	r.version = 0
+	r.configure()
+	time.Sleep(400 * time.Millisecond)
+	assert.Equal(t, http.StatusOK, r.call(0, http.MethodGet, "/added/", "").status)
+}
+
+func TestAHostThatStartsWhileTheStoreIsDownGetsTheConfigurationFromAnother(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, desk: 1})
+	r.started()
+	r.store.SetDown(true)
+	r.addHost()
+	r.await("a configuration", func() bool {
+		return r.call(2, http.MethodGet, "/nothing/", "").status == http.StatusNotFound
+	})
+}
+
+func TestRecordsThatExpiredUnreadAreMadeUpFor(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 1})
+	r.started()
+	r.store.SetDown(true)
+	r.configure(route("added", "/added/", "idempotent", "desk", nil))
+	r.store.Expire("keyed.op")
+	r.store.Expire("keyed.servers")
+	r.store.SetDown(false)
+	r.await("the new route", func() bool { return r.call(0, http.MethodGet, "/added/", "").status == http.StatusOK })
+}
+
+func TestABodyOverTheLimitIsRefusedAndNotPassedOn(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 1})
+	r.started()
+	assert.Equal(t, http.StatusRequestEntityTooLarge, r.call(0, http.MethodPost, "/submit/", strings.Repeat("x", 1<<16+1)).status)
+	assert.Zero(t, r.desk[0].Sent())
+}
+
+func TestAStreamThatBreaksOffCannotLookComplete(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	r.decode[0].SetFault(platformer.Cut)
+	got := r.call(0, http.MethodPost, "/brief/x", "b")
+	assert.False(t, got.whole)
+	assert.NotContains(t, got.body, "half an ev", "no part of an event")
+	assert.Len(t, runs(r.decode), 1, "it may not run twice")
+}
+
+func TestAResumableStreamGoesOnAtAnotherEngineWithoutGapOrRepeat(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 2})
+	r.started()
+	r.decode[0].SetFault(platformer.Cut)
+	r.decode[1].SetFault(platformer.Cut)
+	var got reply
+	go func() {
+		for len(runs(r.decode)) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		r.decode[0].SetFault(platformer.Healthy)
+		r.decode[1].SetFault(platformer.Healthy)
+	}()
+	got = r.call(0, http.MethodPost, "/scope/x", "b")
+	assert.True(t, got.whole)
+	assert.Equal(t, platformer.Events(events), got.body)
+	assert.Len(t, runs(r.decode), 2)
+	assert.NotEmpty(t, runs(r.decode)[1].LastEvent+runs(r.decode)[0].LastEvent)
+}
+
+func TestACallerThatLeavesHasItsGenerationStoppedAndItsMemoryGivenBack(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	r.decode[0].SetFault(platformer.Hang)
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.send(r.request(ctx, 0, http.MethodPost, "/brief/x", "b"))
+	r.await("the run", func() bool { return len(r.decode[0].Runs()) == 1 })
+	cancel()
+	r.await("memory given back", func() bool {
+		holds, handles, active := r.decode[0].Reserved()
+		_, kept, _ := r.prefill[0].Reserved()
+		return holds+handles+active+kept == 0
+	})
+}
+
+func TestAGenerationThatFindsNoRoomIsRefusedWithATimeToComeBack(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	r.decode[0].SetFault(platformer.Hang)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 4 {
+		go r.send(r.request(ctx, 0, http.MethodPost, "/brief/x", "b"))
+	}
+	r.await("full slots", func() bool { _, _, active := r.decode[0].Reserved(); return active == 4 })
+	got := r.call(0, http.MethodPost, "/brief/x", "b")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Len(t, runs(r.decode), 4)
+	assert.Equal(t, 4, r.prefill[0].Sent(), "no prompt is read without a place")
+}
+
+func TestGenerationsGoOnWhileHostsComeAndGo(t *testing.T) {
+	r := newRig(t, sizes{hosts: 3, prefill: 1, decode: 2, desk: 1})
+	r.started()
+	for i := range r.hosts {
+		assert.True(t, r.call(i, http.MethodPost, "/brief/x", "b").whole)
+	}
+	r.hosts[0].Close(context.Background())
+	for range 4 {
+		for i := 1; i < 3; i++ {
+			got := r.call(i, http.MethodPost, "/brief/x", "b")
+			assert.Equal(t, http.StatusOK, got.status, "whichever host was the home")
+			assert.Equal(t, platformer.Events(events), got.body)
+		}
+	}
+}
+
+func TestAHostThatStopsServesWhoStillComesAndLeavesTheDirectory(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, prefill: 1, decode: 1, desk: 1})
+	r.started()
+	go r.hosts[0].Drain(context.Background())
+	r.await("not ready", func() bool { return !r.hosts[0].IsReady() })
+	resp, err := http.DefaultClient.Do(r.request(context.Background(), 0, http.MethodGet, "/lookup/1", ""))
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.True(t, resp.Close, "the caller is to use another host from now on")
+	r.await("gone from the directory", func() bool { return len(r.addresses(1)) == 1 })
+	<-r.hosts[0].Done()
+}
+
+func TestAStreamUnderWayEndsWholeThoughItsHostStops(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	resp, err := http.DefaultClient.Do(r.request(context.Background(), 0, http.MethodPost, "/brief/x", "b"))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	first, err := bufio.NewReader(resp.Body).ReadString('\n')
+	require.NoError(t, err)
+	assert.Equal(t, "id: 1\n", first)
+	go r.hosts[0].Drain(context.Background())
+	_, err = io.ReadAll(resp.Body)
+	assert.NoError(t, err)
+	<-r.hosts[0].Done()
+}
+
+func TestALostReaderIsReplacedByOneFencedOrder(t *testing.T) {
+	r := newRig(t, sizes{hosts: 3, prefill: 0, decode: 3})
+	r.started()
+	for i := range 3 {
+		r.call(i, http.MethodPost, "/brief/x", "b")
+	}
+	var orders []string
+	r.await("a reader", func() bool {
+		orders = nil
+		for _, e := range r.decode {
+			orders = append(orders, e.Orders()...)
+		}
+		return len(orders) > 0
+	})
+	time.Sleep(300 * time.Millisecond) // the engine's change and a look of the home at it
+	orders = nil
+	for _, e := range r.decode {
+		orders = append(orders, e.Orders()...)
+	}
+	require.Len(t, orders, 1)
+	assert.True(t, strings.HasPrefix(orders[0], "prefill front-"))
+}
--- /dev/null
+++ b/lab/platformer/endpoint.go
@@ -0,0 +1,430 @@
+package platformer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is what goes wrong with a request at an endpoint.
+type Fault string
+
+// The faults.
+const (
+	// Healthy answers properly.
+	Healthy Fault = ""
+	// Lose runs the request and closes the connection without an answer.
+	Lose Fault = "lose"
+	// Refuse answers 503 with the promise that nothing ran.
+	Refuse Fault = "refuse"
+	// Fail runs the request and answers 500.
+	Fail Fault = "fail"
+	// Cut breaks the answer off in the middle.
+	Cut Fault = "cut"
+	// Foreign answers with the id of another request.
+	Foreign Fault = "foreign"
+	// Hang answers nothing until the caller leaves.
+	Hang Fault = "hang"
+)
+
+// Config describes an endpoint.
+type Config struct {
+	ID      string
+	Service string
+	Zone    string
+	// Stage is prefill or decode, or empty for a plain service.
+	Stage string
+	// Slots and Memory bound what an engine holds, Memory in tokens.
+	Slots  int
+	Memory int
+	// Events is the number of events of a stream, Pace the time between them.
+	Events int
+	Pace   time.Duration
+	// Work is how long a plain request takes.
+	Work time.Duration
+	// Switch is how long a change of the stage takes.
+	Switch time.Duration
+}
+
+// Run is a request that an endpoint ran.
+type Run struct {
+	ID   string
+	Path string
+	Body string
+	// LastEvent is what the run went on from.
+	LastEvent string
+	// Source is the engine and handle of the prompt.
+	Source string
+	Header http.Header
+}
+
+// Endpoint is a model engine or a plain service.
+type Endpoint struct {
+	cfg     Config
+	store   *Store
+	server  *httptest.Server
+	mu      sync.Mutex
+	stage   string
+	state   string
+	born    int64
+	beats   int64
+	fault   Fault
+	runs    []Run
+	active  map[string]int
+	holds   map[string]int
+	handles map[string]string
+	orders  int64
+	fence   uint64
+	ordered []string
+	number  int
+	sent    int
+	cut     bool
+}
+
+// Start starts an endpoint and has it announce itself.
+func Start(store *Store, cfg Config) *Endpoint {
+	e := &Endpoint{
+		cfg: cfg, store: store, stage: cfg.Stage, state: "ready", born: time.Now().UnixMilli(),
+		active: make(map[string]int), holds: make(map[string]int), handles: make(map[string]string),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/hold-take", e.takeHold)
+	mux.HandleFunc("DELETE /api/hold-drop/{id}", e.dropHold)
+	mux.HandleFunc("DELETE /api/kv-handle/{id}", e.dropHandle)
+	mux.HandleFunc("GET /api/report", e.report)
+	mux.HandleFunc("POST /api/order", e.order)
+	mux.HandleFunc("/", e.serve)
+	e.server = httptest.NewServer(mux)
+	peers.Store(e.Address().String(), e)
+	e.Announce()
+	return e
+}
+
+// Address returns the endpoint's address.
+func (e *Endpoint) Address() netip.AddrPort { return address(e.server) }
+
+// Close ends the endpoint without a word.
+func (e *Endpoint) Close() {
+	e.server.CloseClientConnections()
+	e.server.Close()
+}
+
+// Announce writes the endpoint's entry.
+func (e *Endpoint) Announce() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.announce()
+}
+
+func (e *Endpoint) announce() {
+	e.beats++
+	entry := map[string]any{
+		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.Zone, "version": "v1", "slots": e.cfg.Slots,
+		"state": e.state, "coldRemainingMs": 0, "sequence": e.beats, "born": e.born,
+	}
+	if e.stage != "" {
+		entry["stage"] = e.stage
+	}
+	e.store.PutJSON("keyed.servers", e.cfg.ID, entry)
+}
+
+// Leave announces that the endpoint drains.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = "draining"
+	e.announce()
+}
+
+// Vanish removes the endpoint's entry.
+func (e *Endpoint) Vanish() { e.store.Put("keyed.servers", e.cfg.ID, nil) }
+
+// SetFault has all requests from now on go wrong in one way.
+func (e *Endpoint) SetFault(f Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+}
+
+// Runs returns the requests that ran here.
+func (e *Endpoint) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+// Sent returns how many requests arrived here, refused ones too.
+func (e *Endpoint) Sent() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sent
+}
+
+// Reserved returns the number of holds, handles and runs that use memory.
+func (e *Endpoint) Reserved() (holds, handles, runs int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.holds), len(e.handles), len(e.active)
+}
+
+// Orders returns the orders that were accepted, with their holders and fences.
+func (e *Endpoint) Orders() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.ordered...)
+}
+
+func (e *Endpoint) used() int {
+	total := 0
+	for _, n := range e.active {
+		total += n
+	}
+	for _, n := range e.holds {
+		total += n
+	}
+	return total
+}
+
+func (e *Endpoint) next(kind string) string {
+	e.number++
+	return fmt.Sprintf("%s-%s-%d", e.cfg.ID, kind, e.number)
+}
+
+func (e *Endpoint) takeHold(w http.ResponseWriter, r *http.Request) {
+	var want struct {
+		Tokens int   `json:"tokens"`
+		TTLMs  int64 `json:"ttlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&want); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.used()+want.Tokens > e.cfg.Memory || len(e.active)+len(e.holds) >= e.cfg.Slots {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := e.next("hold")
+	e.holds[id] = want.Tokens
+	time.AfterFunc(time.Duration(want.TTLMs)*time.Millisecond, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.holds, id)
+	})
+	fmt.Fprintf(w, `{"hold":%q}`, id)
+}
+
+func (e *Endpoint) dropHold(_ http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.holds, r.PathValue("id"))
+}
+
+func (e *Endpoint) dropHandle(_ http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.handles, r.PathValue("id"))
+}
+
+func (e *Endpoint) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := [][]any{}
+	for id, tokens := range e.active {
+		runs = append(runs, []any{id, tokens, 0, 5})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": e.stage, "busy": e.cut, "sequence": e.orders, "queued": 0, "running": len(e.active), "kvUsed": e.used(),
+		"kvTotal": e.cfg.Memory, "kvHandles": len(e.handles), "runs": runs,
+	})
+}
+
+func (e *Endpoint) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		OpType string `json:"opType"`
+		Stage  string `json:"stage"`
+		Holder string `json:"holder"`
+		Fence  uint64 `json:"fence"`
+		Expect *int64 `json:"expect"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.OpType != "stage" || o.Holder == "" {
+		http.Error(w, "no order", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case o.Fence < e.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case e.cut || (o.Expect != nil && *o.Expect != e.orders):
+		w.WriteHeader(http.StatusConflict)
+	default:
+		e.fence = o.Fence
+		e.orders++
+		e.cut = true
+		e.ordered = append(e.ordered, fmt.Sprintf("%s %s %d", o.Stage, o.Holder, o.Fence))
+		time.AfterFunc(e.cfg.Switch, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.cut = false
+			e.stage = o.Stage
+			e.announce()
+		})
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// refuse answers with the promise that nothing ran.
+func (e *Endpoint) refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Instance-Id", e.cfg.ID)
+	w.WriteHeader(status)
+}
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.sent++
+	fault, stage, changing := e.fault, e.stage, e.cut
+	e.mu.Unlock()
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.cfg.ID {
+		e.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if fault == Refuse || changing {
+		e.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	if r.Header.Get("Stage") == "prefill" {
+		e.prefill(w, r, stage)
+		return
+	}
+	if stage == "prefill" {
+		e.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	e.run(w, r, string(body), fault)
+}
+
+func (e *Endpoint) prefill(w http.ResponseWriter, r *http.Request, stage string) {
+	if stage != "prefill" {
+		e.refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	e.mu.Lock()
+	handle := e.next("handle")
+	e.handles[handle] = id
+	e.mu.Unlock()
+	w.Header().Set("Request-Id", id)
+	fmt.Fprintf(w, `{"kvHandle":%q,"tokens":1,"version":1}`, handle)
+}
+
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, body string, fault Fault) {
+	id := r.Header.Get("Request-Id")
+	e.mu.Lock()
+	e.takeHandle(r.Header.Get("Kv-Source"), id)
+	hold := r.Header.Get("Kv-Hold")
+	tokens := e.holds[hold]
+	delete(e.holds, hold)
+	e.active[id] = tokens
+	e.runs = append(e.runs, Run{
+		ID: id, Path: r.RequestURI, Body: body, LastEvent: r.Header.Get("Last-Event-Id"), Source: r.Header.Get("Kv-Source"),
+		Header: r.Header.Clone(),
+	})
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.active, id)
+	}()
+	switch fault {
+	case Lose:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+		return
+	case Foreign:
+		id = "another"
+	case Healthy, Refuse, Fail, Cut:
+	}
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Response-Seal", "seal."+e.cfg.ID)
+	if e.cfg.Events > 0 {
+		e.stream(w, r, fault)
+		return
+	}
+	time.Sleep(e.cfg.Work)
+	answer := "answer of " + e.cfg.ID
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if fault == Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	if fault == Cut {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// peers are the endpoints by their addresses, for the moving of KV cache.
+var peers sync.Map
+
+// takeHandle moves KV cache here from the engine that read the prompt.
+func (e *Endpoint) takeHandle(source, id string) {
+	at, handle, ok := strings.Cut(source, "/")
+	if !ok {
+		return
+	}
+	peer, ok := peers.Load(at)
+	if !ok {
+		return
+	}
+	from := peer.(*Endpoint)
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	if from.handles[handle] == id {
+		delete(from.handles, handle)
+	}
+}
+
+// Events returns the events of a whole stream.
+func Events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent stands for a new stream
+	control := http.NewResponseController(w)
+	for i := last + 1; i <= e.cfg.Events; i++ {
+		if fault == Cut && i == last+3 {
+			_, _ = io.WriteString(w, "id: 99\ndata: half an ev")
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i); err != nil {
+			return
+		}
+		_ = control.Flush()
+		select {
+		case <-time.After(e.cfg.Pace):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -117,6 +117,7 @@
 	config    *configurer.Configurer
 	gossiper  *gossiper.Gossiper
 	endpoints *enlister.Enlister
+	places    *dispatcher.Dispatcher
 	router    *router.Router
 	listeners []*listener.Listener
 	front     *listener.Listener
@@ -148,7 +149,7 @@
 		IsBlind:   func() bool { return h.endpoints.LostFor() > blindAfter },
 		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation), Logs: logs,
 	})
-	places := dispatcher.New(dispatcher.Options{
+	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
 		Orders: conductor.New(conductor.Options{
 			Holder: fmt.Sprintf("%s/%d", cfg.Name, incarnation), Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
@@ -157,7 +158,7 @@
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	h.router = router.New(router.Options{
-		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: places,
+		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places,
 		Hosts: h.sharers, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
 		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
@@ -301,6 +302,7 @@
 	_ = h.front.Shutdown(shutdown)
 	cancel()
 	h.stop()
+	h.places.Close()
 	for _, l := range h.listeners {
 		l.Close()
 	}
--- a/transport/dispatcher/announce.go
+++ b/transport/dispatcher/announce.go
@@ -61,10 +61,9 @@
 		for service, to := range moved {
 			d.announceTo(service, to)
 		}
-		if !active {
+		if !active || !d.sleep(announcePeriod) {
 			return
 		}
-		d.Clock.Sleep(announcePeriod)
 	}
 }
 
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -247,6 +247,8 @@
 	for k.step() {
 		select {
 		case <-k.wake:
+		case <-k.dispatcher.done:
+			return
 		case <-k.dispatcher.Clock.After(tick):
 		}
 	}
@@ -540,7 +542,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		k.balance(ctx)
 		cancel()
-		d.Clock.Sleep(balancePeriod)
+		if !d.sleep(balancePeriod) {
+			return
+		}
 	}
 }
 
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/dispatcher/dispatcher.go
@@ -181,6 +181,8 @@
 	active     map[string]activeRun
 	announced  map[string]string
 	announcing bool
+	closed     bool
+	done       chan struct{}
 }
 
 // New returns a Dispatcher and takes the kinds of messages it answers as home.
@@ -188,6 +190,7 @@
 	d := &Dispatcher{
 		Options: o, desks: make(map[string]*desk), silent: make(map[string]time.Time),
 		redirected: make(map[string]redirect), active: make(map[string]activeRun), announced: make(map[string]string),
+		done: make(chan struct{}),
 	}
 	messenger.Handle(o.Messenger, kindPlace, d.answerPlace)
 	messenger.Handle(o.Messenger, kindTell, d.answerTell)
@@ -195,6 +198,29 @@
 	return d
 }
 
+// Done is closed once Close has been called.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+// Close has the asking for reports and the announcing end.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.closed {
+		d.closed = true
+		close(d.done)
+	}
+}
+
+// sleep waits for a time, or until the Dispatcher is closed; then it returns false.
+func (d *Dispatcher) sleep(t time.Duration) bool {
+	select {
+	case <-d.done:
+		return false
+	case <-d.Clock.After(t):
+		return true
+	}
+}
+
 // redirect is an earlier home's word on where the home of a service is.
 type redirect struct {
 	home  tracker.Member
