--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -37,6 +37,8 @@
 	Config    string
 	ConfigKey string
 	Endpoints string
+	// Duties has the holders of engines' orders.
+	Duties string
 }
 
 // Store is the platform's log.
@@ -152,7 +154,7 @@
 	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
 		Orders: conductor.New(conductor.Options{
-			Holder: fmt.Sprintf("%s/%d", cfg.Name, incarnation), Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
+			Holder: fmt.Sprintf("%s/%d", cfg.Name, incarnation), Topic: cfg.Topics.Duties, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
 			Clock: clock, Logs: logs,
 		}),
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
--- a/transport/conductor/conductor.go
+++ b/transport/conductor/conductor.go
@@ -20,9 +20,6 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
 )
 
-// Topic is the topic with the newest holder of each engine's orders.
-const Topic = "keyed.duties"
-
 // Store is a log with conditional appends.
 type Store interface {
 	Newest(ctx context.Context, topic, after string) (tailer.Page, error)
@@ -72,7 +69,9 @@
 // Options are the settings of a Conductor.
 type Options struct {
 	// Holder is the name of this host.
-	Holder  string
+	Holder string
+	// Topic is the topic with the newest holder of each engine's orders.
+	Topic   string
 	Lease   leaser.Config
 	Store   Store
 	Engines Engines
@@ -134,7 +133,7 @@
 	if err != nil {
 		return leaser.Token{}, errorx.Decorate(err, "conductor: unable to encode a duty")
 	}
-	offset, err := c.options.Store.Put(ctx, Topic, engine, value, &end)
+	offset, err := c.options.Store.Put(ctx, c.options.Topic, engine, value, &end)
 	if err != nil {
 		return leaser.Token{}, errorx.Decorate(err, "conductor: unable to take the duty of %s", engine)
 	}
@@ -147,7 +146,7 @@
 func (c *Conductor) look(ctx context.Context) (uint64, error) {
 	after, end, first := "", uint64(0), true
 	for {
-		page, err := c.options.Store.Newest(ctx, Topic, after)
+		page, err := c.options.Store.Newest(ctx, c.options.Topic, after)
 		if err != nil {
 			return 0, errorx.Decorate(err, "conductor: unable to read the duties")
 		}
@@ -157,7 +156,7 @@
 		for _, r := range page.Records {
 			var d duty
 			if err := json.Unmarshal(r.Value, &d); err != nil {
-				eventer.Warn(c.options.Logs, eventer.RecordDamaged, "stream", Topic, "offset", r.Offset, "error", err.Error())
+				eventer.Warn(c.options.Logs, eventer.RecordDamaged, "stream", c.options.Topic, "offset", r.Offset, "error", err.Error())
 			}
 			c.watch.Seen(c.options.Clock.Now(), r.Key, leaser.Record{Holder: d.Holder, Offset: r.Offset})
 			after = r.Key
