--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	go -C tools build -o $(CURDIR)/$(BIN)/revive github.com/mgechev/revive
 
 lint: $(BIN)/revive
-	test -z "$$(cd tools && go tool gofumpt -l ../cmd ../internal ../lab ../parts ../protocol ../scenarios ../transport)"
+	test -z "$$(cd tools && go tool gofumpt -l ../cmd ../internal ../lab ../parts ../platform ../protocol ../scenarios ../transport)"
 	for m in $(MODULES); do (cd $$m && go vet ./... && $(CURDIR)/$(BIN)/revive -set_exit_status ./...) || exit 1; done
 
 model:
--- a/lab/platformer/store.go
+++ b/lab/platformer/store.go
@@ -34,11 +34,11 @@
 
 // Store keeps topics of one partition in memory.
 type Store struct {
-	server  *httptest.Server
-	mu      sync.Mutex
-	topics  map[string]*topic
-	down    bool
-	calls   int
+	server *httptest.Server
+	mu     sync.Mutex
+	topics map[string]*topic
+	down   bool
+	calls  int
 }
 
 // NewStore starts a store.
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
-	"github.com/hornbeamspan/hornbeamspan/parts/coordination/estimator"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/stager"
@@ -21,45 +19,18 @@
 	// confidence is the number of standard deviations of the predicted memory that are kept free. A preemption has a
 	// prompt read again and breaks the pause between events; idle memory has requests wait.
 	confidence = 1.5
-	// holdMargin is what a home reserves beyond the prompt, in events of output: the rest is packed, not reserved.
-	holdMargin = 2
 	// tick is the time between two looks at those who wait.
 	tick = 20 * time.Millisecond
-	// holdTimeout bounds a call for a hold; engines answer it without work.
-	holdTimeout = 200 * time.Millisecond
-	// fullPause is how long an engine is not asked after it had no room.
-	fullPause = 60 * time.Millisecond
 	// refusedPause is how long an engine is not used after it refused a generation that had a hold there, or lost the KV
 	// cache of a prompt: it does not do its part at present.
 	refusedPause = time.Second
 	// unreadPause is how long an engine is not used after it refused a prompt: it has too many, or has changed its stage.
 	unreadPause = 400 * time.Millisecond
-	// busyPause is how long an engine is not asked after its report told of an order; the next report comes sooner.
-	busyPause = reportPeriod + time.Second
 	// abandonAfter is how long a request that waits is kept without a question about it.
 	abandonAfter = 2*pollWait + answerSlack
-	// readerWindow is how much work a reading engine may have before others wait here, where they can be ordered.
-	readerWindow = 150 * time.Millisecond
-	// ownReading is the time for which a decode engine that reads a prompt itself is given no second one: prompts hold up
-	// the output of every generation there.
-	ownReading = 500 * time.Millisecond
-	// farPenalty is the share of an engine's memory that another data centre counts for: bytes between them are dear.
-	farPenalty = 0.1
-	// pauseShare is the part of the longest pause that events may take at the measured pace: it varies.
-	pauseShare = 0.8
-	// farReader is the work that a reading engine of another data centre counts for: moving KV cache is dear.
-	farReader = 30 * time.Millisecond
-	// reportPeriod is the time between questions for engines' reports, while requests come.
-	reportPeriod = 2 * time.Second
 	// warmUp is how long a new home asks engines for free memory first: runs that started shortly before are not in any
 	// report yet.
 	warmUp = 1500 * time.Millisecond
-	// warmPeriod is the time between questions for reports while a home is new.
-	warmPeriod = 500 * time.Millisecond
-	// reportTimeout bounds such a question.
-	reportTimeout = 500 * time.Millisecond
-	// idleAfter is how long after the last request reports are asked for.
-	idleAfter = 6 * time.Second
 	// placings is the number of places whose rate tells how long others will wait.
 	placings = 12
 	// minReturn and maxReturn bound what refused callers are told to wait.
@@ -358,235 +329,3 @@
 		}
 	}
 }
-
-// place finds a place for t and has it taken. The caller holds mu.
-func (k *desk) place(now time.Time, t *ticket) bool {
-	service, ok := k.dispatcher.Describe(k.service)
-	if !ok || service.Engine == nil {
-		return false
-	}
-	e := k.pickEngine(now, t, service.Engine.Stride)
-	if e == nil {
-		return false
-	}
-	r, ok := k.pickReader(now, e, t.ask.Prompt)
-	if !ok || (r == nil && now.Before(k.reading[e.ID])) {
-		return false
-	}
-	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
-	begins := now
-	if r != nil {
-		begins = now.Add(k.readers.Backlog(now, r.ID) + k.readers.Time(r.ID, t.ask.Prompt))
-		k.readers.Assign(now, r.ID, t.ask.ID, t.ask.Prompt)
-	} else {
-		k.reading[e.ID] = now.Add(ownReading)
-	}
-	k.packer.Add(e.ID, job, begins)
-	t.taking = true
-	w := want{tokens: t.ask.Prompt + holdMargin*service.Engine.Stride, lifetime: service.Engine.MaxHold}
-	if t.alone || now.Sub(k.since) < warmUp {
-		w.proof = estimator.Need(estimator.Demand{Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput})
-	}
-	go k.take(t, e, r, w)
-	return true
-}
-
-// want is a hold to be taken.
-type want struct {
-	tokens   int
-	lifetime time.Duration
-	// proof is the memory that must be free at that moment, 0 if the home knows enough to do without the question. It is
-	// not kept: what is reserved and unused has the generations of others preempted.
-	proof int
-}
-
-// hold takes a hold at an engine.
-func (k *desk) hold(e *enlister.Endpoint, w want) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
-	defer cancel()
-	engines := k.dispatcher.Engines
-	if w.proof > w.tokens {
-		proof, err := engines.Hold(ctx, e.Address, w.proof, w.lifetime)
-		if err != nil {
-			return "", err
-		}
-		if err := engines.Drop(ctx, e.Address, proof); err != nil {
-			return "", err
-		}
-	}
-	return engines.Hold(ctx, e.Address, w.tokens, w.lifetime)
-}
-
-// pickEngine returns the decode engine that the request fills least, nil if none has room. An engine whose events come
-// too slowly for an answer in time is left to requests that are late, and to times when all are slow. The caller holds mu.
-func (k *desk) pickEngine(now time.Time, t *ticket, stride int) *enlister.Endpoint {
-	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
-	random := k.dispatcher.random()
-	var best, slow *enlister.Endpoint
-	var lowest, lowestSlow float64
-	usable, dragging := 0, 0
-	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
-			continue
-		}
-		usable++
-		isSlow := t.ask.MaxPause > 0 && k.packer.Pause(now, e.ID, stride) > time.Duration(pauseShare*float64(t.ask.MaxPause))
-		if isSlow {
-			dragging++
-		}
-		peak := k.packer.Peak(now, e.ID, job, now)
-		if peak > 1 {
-			continue
-		}
-		cost := peak + 0.02*random.Float64()
-		if e.DataCentre != t.zone {
-			cost += farPenalty
-		}
-		switch {
-		case isSlow && (slow == nil || cost < lowestSlow):
-			slow, lowestSlow = e, cost
-		case !isSlow && (best == nil || cost < lowest):
-			best, lowest = e, cost
-		}
-	}
-	if best == nil && (t.IsLate(now) || dragging == usable) {
-		return slow
-	}
-	return best
-}
-
-// pickReader returns the reading engine that has the prompt read soonest. The result is nil and true if there is none at
-// all, and nil and false if all have enough to do. The caller holds mu.
-func (k *desk) pickReader(now time.Time, decode *enlister.Endpoint, prompt int) (*enlister.Endpoint, bool) {
-	var best *enlister.Endpoint
-	var least time.Duration
-	any := false
-	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage != enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
-			continue
-		}
-		any = true
-		backlog := k.readers.Backlog(now, e.ID)
-		if backlog > readerWindow {
-			continue
-		}
-		ready := backlog + k.readers.Time(e.ID, prompt)
-		if e.DataCentre != decode.DataCentre {
-			ready += farReader
-		}
-		if best == nil || ready < least {
-			best, least = e, ready
-		}
-	}
-	return best, best != nil || !any
-}
-
-// take gets the hold for a placed request; without one the request waits on.
-func (k *desk) take(t *ticket, e, r *enlister.Endpoint, w want) {
-	d := k.dispatcher
-	begun := d.Clock.Now()
-	hold, err := k.hold(e, w)
-	now := d.Clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	t.taking = false
-	if err != nil {
-		k.packer.Remove(t.ask.ID)
-		k.readers.Drop(t.ask.ID)
-		k.noteFailure(now, t, e, err)
-		k.nudge()
-		return
-	}
-	if t.done {
-		k.packer.Remove(t.ask.ID)
-		k.readers.Drop(t.ask.ID)
-		go k.release(e, hold)
-		return
-	}
-	k.placed = append(k.placed, now)
-	if len(k.placed) > placings {
-		k.placed = k.placed[1:]
-	}
-	answer := wire.PlaceAnswer{State: statePlaced, Engine: e.ID, Hold: hold, Until: int(begun.Add(w.lifetime).Sub(now).Milliseconds())}
-	if r != nil {
-		answer.Reader = r.ID
-	}
-	t.answer <- answer
-}
-
-func (k *desk) noteFailure(now time.Time, t *ticket, e *enlister.Endpoint, err error) {
-	var full *FullError
-	if errors.As(err, &full) {
-		k.full[e.ID] = now.Add(fullPause)
-		return
-	}
-	eventer.Warn(k.dispatcher.Logs, eventer.SendFailed, "request", t.ask.ID, "endpoint", e.ID, "service", k.service,
-		"stage", e.Stage.String(), "outcome", "no hold", "reason", err.Error())
-	e.Judge(func(h *ejector.Health) { h.Refused(now) })
-}
-
-// watch balances the stages while requests come, and asks engines for their reports, so that the runs of hosts that
-// place alone are counted.
-func (k *desk) watch() {
-	d := k.dispatcher
-	var asked time.Time
-	for k.isUsed() {
-		if now := d.Clock.Now(); now.Sub(asked) >= k.period(now) {
-			asked = now
-			for _, e := range d.Endpoints.Service(k.service) {
-				if e.Stage != enroller.Prefill || k.isNew(now) {
-					go k.observe(e)
-				}
-			}
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-		k.balance(ctx)
-		cancel()
-		if !d.sleep(balancePeriod) {
-			return
-		}
-	}
-}
-
-func (k *desk) period(now time.Time) time.Duration {
-	if k.isNew(now) {
-		return warmPeriod
-	}
-	return reportPeriod
-}
-
-// isNew tells whether the host may not know yet what an earlier home has done.
-func (k *desk) isNew(now time.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return now.Sub(k.since) < 2*warmUp
-}
-
-func (k *desk) isUsed() bool {
-	now := k.dispatcher.Clock.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.packer.Expire(now)
-	k.watching = now.Sub(k.used) < idleAfter
-	return k.watching
-}
-
-func (k *desk) observe(e *enlister.Endpoint) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-	defer cancel()
-	load, err := k.dispatcher.Engines.Report(ctx, e.Address)
-	if err != nil {
-		return // the next report or call tells whether the engine is gone
-	}
-	service, ok := k.dispatcher.Describe(k.service)
-	if !ok || service.Engine == nil {
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if load.Busy {
-		// An order of an earlier home is being carried out, whatever the engine's entry says.
-		k.full[e.ID] = k.dispatcher.Clock.Now().Add(busyPause)
-	}
-	k.packer.Observe(k.dispatcher.Clock.Now(), e.ID, service.Engine.Stride, load.Runs)
-}
