Keep requests that crash endpoints away from a fourth one, on all hosts

Cause: the quarantine was built into the completion interface only; on the platform a request that crashes engines came back without end. Change: one isolator serves both. A request whose endpoint broke off and then takes no connection is a suspect, told to all hosts; after three crashed endpoints it is refused before it is sent. A lost answer alone convicts nobody.

--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -589,3 +589,24 @@
 	require.Len(t, orders, 1)
 	assert.True(t, strings.HasPrefix(orders[0], "prefill front-"))
 }
+
+func TestARequestThatCrashesEndpointsReachesNoFourthOneOnAnyHost(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, desk: 6})
+	r.started()
+	for i := range 12 {
+		got := r.call(i%2, http.MethodPost, "/submit/", platformer.Poison)
+		assert.NotEqual(t, http.StatusOK, got.status)
+		time.Sleep(100 * time.Millisecond) // a caller takes longer to come again
+	}
+	crashed := 0
+	for _, e := range r.desk {
+		for _, run := range e.Runs() {
+			if run.Body == platformer.Poison {
+				crashed++
+			}
+		}
+	}
+	assert.Equal(t, 3, crashed)
+	assert.Equal(t, http.StatusServiceUnavailable, r.call(0, http.MethodPost, "/submit/", platformer.Poison).status)
+	assert.Equal(t, http.StatusOK, r.call(0, http.MethodPost, "/submit/", "one proposal").status)
+}
--- a/lab/platformer/endpoint.go
+++ b/lab/platformer/endpoint.go
@@ -314,9 +314,26 @@
 		e.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
+	if strings.Contains(string(body), Poison) {
+		e.crash(r.Header.Get("Request-Id"), string(body))
+		return
+	}
 	e.run(w, r, string(body), fault)
 }
 
+// Poison in the body of a request crashes the endpoint that begins to run it.
+const Poison = "poison"
+
+// crash ends the endpoint with all its connections.
+func (e *Endpoint) crash(id, body string) {
+	e.mu.Lock()
+	e.runs = append(e.runs, Run{ID: id, Body: body})
+	e.mu.Unlock()
+	_ = e.server.Listener.Close()
+	e.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Endpoint) prefill(w http.ResponseWriter, r *http.Request, stage string) {
 	if stage != "prefill" {
 		e.refuse(w, http.StatusMisdirectedRequest)
--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -1,14 +1,11 @@
 // Package quarantiner finds requests that crash the engines that run them.
 //
 // Every request running on an engine that dies becomes a suspect. A suspect that finishes is cleared; a suspect that
-// sees Deaths engines die is convicted.
+// sees as many engines die as are allowed is convicted.
 package quarantiner
 
 import "time"
 
-// Deaths is the number of engine deaths that convicts a request.
-const Deaths = 2
-
 // Suspect is what is known of a request's fingerprint.
 type Suspect struct {
 	Fingerprint uint64
@@ -19,12 +16,13 @@
 // Quarantine counts deaths per fingerprint. It is not safe for concurrent use.
 type Quarantine struct {
 	keep     time.Duration
+	deaths   int
 	suspects map[uint64]Suspect
 }
 
-// New returns an empty Quarantine that forgets a suspect keep after its last death.
-func New(keep time.Duration) *Quarantine {
-	return &Quarantine{keep: keep, suspects: make(map[uint64]Suspect)}
+// New returns an empty Quarantine that convicts after deaths engines and forgets a suspect keep after its last death.
+func New(keep time.Duration, deaths int) *Quarantine {
+	return &Quarantine{keep: keep, deaths: deaths, suspects: make(map[uint64]Suspect)}
 }
 
 // Died counts an engine's death against the request and returns the new count.
@@ -46,7 +44,7 @@
 
 // Finished clears the request unless it is convicted.
 func (q *Quarantine) Finished(fingerprint uint64) {
-	if q.suspects[fingerprint].Deaths < Deaths {
+	if q.suspects[fingerprint].Deaths < q.deaths {
 		delete(q.suspects, fingerprint)
 	}
 }
@@ -56,7 +54,7 @@
 
 // IsConvicted tells whether the request may not run again.
 func (q *Quarantine) IsConvicted(fingerprint uint64) bool {
-	return q.suspects[fingerprint].Deaths >= Deaths
+	return q.suspects[fingerprint].Deaths >= q.deaths
 }
 
 func (q *Quarantine) forget(now time.Time) {
--- a/transport/assembler/assembler.go
+++ b/transport/assembler/assembler.go
@@ -27,6 +27,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/forwarder"
 	"github.com/hornbeamspan/hornbeamspan/transport/generator"
 	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
 	"github.com/hornbeamspan/hornbeamspan/transport/listener"
 	"github.com/hornbeamspan/hornbeamspan/transport/logger"
 	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
@@ -74,6 +75,10 @@
 	answerTimeout = 0.8
 	// retention is how long dead hosts are remembered.
 	retention = 2 * time.Minute
+	// enginesLost is the number of engines that a request may crash before it is refused.
+	enginesLost = 2
+	// suspicionAge is how long a request is remembered that an engine died under.
+	suspicionAge = 10 * time.Minute
 	// updates is the number of hosts told in one heartbeat.
 	updates = 6
 )
@@ -197,7 +202,12 @@
 		Supervisor: supervisor.New(h.gossiper, h.messenger, h.logs),
 		Generator: generator.New(generator.Options{
 			Node: h.cfg.Name, Incarnation: incarnation, Policy: h.cfg.Policy, Endpoints: h.watcher, Reserver: h.reserver,
-			Releaser: h.releaser, Hosts: h.gossiper, Messenger: h.messenger, Random: h.random("engines"), Logs: h.logs,
+			Releaser: h.releaser, Hosts: h.gossiper, Messenger: h.messenger,
+			Isolator: isolator.New(isolator.Options{
+				Deaths: enginesLost, Keep: suspicionAge, Hosts: h.gossiper, Messenger: h.messenger,
+				Clock: clockwork.NewRealClock(), Logs: h.logs,
+			}),
+			Random: h.random("engines"), Logs: h.logs,
 		}),
 		Executor: executor.New(executor.Options{
 			Node: h.cfg.Name, Incarnation: incarnation, Hosts: h.gossiper, Messenger: h.messenger,
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -25,6 +25,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
 	"github.com/hornbeamspan/hornbeamspan/transport/listener"
 	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
 	"github.com/hornbeamspan/hornbeamspan/transport/meter"
@@ -100,6 +101,8 @@
 	routingPeriod = 500 * time.Millisecond
 	// blindAfter is how long the store may be out of reach before others are told: one slow answer is no outage.
 	blindAfter = time.Second
+	// endpointsLost is the number of endpoints that a request may crash before no host sends it on any more.
+	endpointsLost = 3
 	// maxAddresses is how many addresses callers are told.
 	maxAddresses = 64
 	// drainPoll is the time between two looks at the requests in flight.
@@ -151,6 +154,10 @@
 		IsBlind:   func() bool { return h.endpoints.LostFor() > blindAfter },
 		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation), Logs: logs,
 	})
+	isolating := isolator.New(isolator.Options{
+		Deaths: endpointsLost, Keep: suspicionAge, Hosts: h.gossiper, Messenger: h.messenger, Clock: clock, Logs: logs,
+	})
+	h.endpoints.OnGone(isolating.Gone)
 	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
 		Orders: conductor.New(conductor.Options{
@@ -160,7 +167,7 @@
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	h.router = router.New(router.Options{
-		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places,
+		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places, Isolator: isolating,
 		Hosts: h.sharers, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
 		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
--- a/transport/enlister/enlister.go
+++ b/transport/enlister/enlister.go
@@ -60,6 +60,8 @@
 
 // Enlister follows the endpoints' topic.
 type Enlister struct {
+	// onGone is told of endpoints that are gone, or back as another incarnation.
+	onGone func(id string)
 	decode Decode
 	clock  clockwork.Clock
 	logs   hclog.Logger
@@ -77,12 +79,15 @@
 func New(decode Decode, clock clockwork.Clock, logs hclog.Logger) *Enlister {
 	e := &Enlister{
 		decode: decode, clock: clock, logs: logs, list: enroller.New(),
-		known: make(map[string]*Endpoint), ready: make(chan struct{}),
+		known: make(map[string]*Endpoint), ready: make(chan struct{}), onGone: func(string) {},
 	}
 	e.byName.Store(&map[string][]*Endpoint{})
 	return e
 }
 
+// OnGone has f told of each endpoint that is gone or has started anew. It is set before records come.
+func (e *Enlister) OnGone(f func(id string)) { e.onGone = f }
+
 // Ready is closed once the list has been read.
 func (e *Enlister) Ready() <-chan struct{} { return e.ready }
 
@@ -164,6 +169,7 @@
 	for id, old := range e.known {
 		if !seen[id] {
 			delete(e.known, id)
+			go e.onGone(id)
 			eventer.Info(e.logs, eventer.EndpointGone, "endpoint", id, "service", old.Service, "offset", offset)
 		}
 	}
@@ -177,6 +183,9 @@
 		return old
 	}
 	next := &Endpoint{Endpoint: ep}
+	if old != nil && !old.Born.Equal(ep.Born) {
+		go e.onGone(ep.ID)
+	}
 	if old != nil && old.Born.Equal(ep.Born) && old.Address == ep.Address {
 		old.Judge(func(h *ejector.Health) { next.health = *h })
 	}
--- a/transport/generator/engines.go
+++ b/transport/generator/engines.go
@@ -113,7 +113,7 @@
 	f.prefill = e
 	f.prefillAttempt = f.attempt
 	f.transfer = nil
-	if g.isSuspect(f.fingerprint) {
+	if g.options.Isolator.IsSuspect(f.fingerprint) {
 		end, err := g.alone(ctx, e.Name)
 		if err != nil {
 			return err
--- a/transport/generator/flow.go
+++ b/transport/generator/flow.go
@@ -129,7 +129,7 @@
 	}
 	if g.isDead(e) {
 		g.options.Endpoints.Down(e.Name)
-		g.died(e, f.fingerprint)
+		g.options.Isolator.Died(e.Name, f.fingerprint)
 	}
 	return cause
 }
--- a/transport/generator/generator.go
+++ b/transport/generator/generator.go
@@ -17,11 +17,11 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/balancer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
-	"github.com/hornbeamspan/hornbeamspan/parts/coordination/quarantiner"
 	"github.com/hornbeamspan/hornbeamspan/parts/state/sharder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
 	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
 	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
 	"github.com/hornbeamspan/hornbeamspan/transport/releaser"
 	"github.com/hornbeamspan/hornbeamspan/transport/reserver"
@@ -35,8 +35,6 @@
 	retryRatio = 0.1
 	// retryReserve is the number of further attempts that may come at once.
 	retryReserve = 20
-	// quarantineAge is how long a suspect is remembered.
-	quarantineAge = 10 * time.Minute
 	// comeBack is when a caller may try again if nothing better is known.
 	comeBack = time.Second
 )
@@ -91,19 +89,19 @@
 	Releaser    *releaser.Releaser
 	Hosts       *gossiper.Gossiper
 	Messenger   *messenger.Messenger
+	Isolator    *isolator.Isolator
 	Random      *rand.Rand
 	Logs        hclog.Logger
 }
 
 // Generator serves generated requests.
 type Generator struct {
-	options    Options
-	http       *dialer.Client
-	sequence   atomic.Uint64
-	mu         sync.Mutex
-	policies   map[string]balancer.Policy[watcher.Endpoint]
-	budget     limiter.Budget
-	quarantine *quarantiner.Quarantine
+	options  Options
+	http     *dialer.Client
+	sequence atomic.Uint64
+	mu       sync.Mutex
+	policies map[string]balancer.Policy[watcher.Endpoint]
+	budget   limiter.Budget
 	// prefixes are the tokens that engines are believed to have cached.
 	prefixes *sharder.Map[cachedPrefix, int]
 	learned  atomic.Uint64
@@ -114,16 +112,14 @@
 // New returns a Generator and takes the kinds of messages it answers.
 func New(o Options) *Generator {
 	g := &Generator{
-		options:    o,
-		http:       dialer.New("engines", nil),
-		budget:     limiter.Budget{Ratio: retryRatio, Reserve: retryReserve},
-		quarantine: quarantiner.New(quarantineAge),
-		prefixes:   sharder.New[cachedPrefix, int](hashPrefix),
-		times:      times{handover: firstHandover, step: firstStep},
-		policies:   make(map[string]balancer.Policy[watcher.Endpoint]),
-		suspects:   sharder.New[string, chan struct{}](xxhash.Sum64String),
+		options:  o,
+		http:     dialer.New("engines", nil),
+		budget:   limiter.Budget{Ratio: retryRatio, Reserve: retryReserve},
+		prefixes: sharder.New[cachedPrefix, int](hashPrefix),
+		times:    times{handover: firstHandover, step: firstStep},
+		policies: make(map[string]balancer.Policy[watcher.Endpoint]),
+		suspects: sharder.New[string, chan struct{}](xxhash.Sum64String),
 	}
-	messenger.Handle(o.Messenger, kindSuspect, g.learnSuspect)
 	return g
 }
 
@@ -140,7 +136,7 @@
 // a *RefusedError, a *FailedError or the end of ctx.
 func (g *Generator) Generate(ctx context.Context, req Request, emit func(string) error) error {
 	fingerprint := xxhash.Sum64String(req.Prompt)
-	if g.isConvicted(fingerprint) {
+	if g.options.Isolator.IsConvicted(fingerprint) {
 		return convicted(false)
 	}
 	f := &flow{
@@ -151,7 +147,7 @@
 	for {
 		err := f.try(ctx)
 		if err == nil {
-			g.finished(fingerprint)
+			g.options.Isolator.Finished(fingerprint)
 			return nil
 		}
 		if stop := f.stop(ctx, err); stop != nil {
@@ -178,7 +174,7 @@
 		return &FailedError{Tries: f.tries, Reason: refused.Reason}
 	case errors.As(err, &refused):
 		return refused
-	case g.isConvicted(f.fingerprint):
+	case g.options.Isolator.IsConvicted(f.fingerprint):
 		return convicted(f.tries > 0)
 	case f.tries >= maxTries || !g.takeRetry():
 		return &FailedError{Tries: f.tries, Reason: err.Error()}
--- a/transport/generator/route.go
+++ b/transport/generator/route.go
@@ -145,7 +145,7 @@
 // patience is how long the request may wait for a slot: only a suspect, for an engine without another one, and a
 // request whose first attempt failed.
 func (f *flow) patience() time.Duration {
-	if f.tries > 0 || f.generator.isSuspect(f.fingerprint) {
+	if f.tries > 0 || f.generator.options.Isolator.IsSuspect(f.fingerprint) {
 		return f.request.Model.Finish / 2
 	}
 	return 0
@@ -170,7 +170,7 @@
 			Arrival:  arrival,
 			Latest:   f.startBy(),
 			Until:    now.Add(r.estimate.Finish() + bookingGrace),
-			Suspect:  g.isSuspect(f.fingerprint),
+			Suspect:  g.options.Isolator.IsSuspect(f.fingerprint),
 		})
 		if r.slot.Granted {
 			return nil
--- a/transport/router/call.go
+++ b/transport/router/call.go
@@ -167,6 +167,7 @@
 func (x *Router) pass(w http.ResponseWriter, j *job, e *enlister.Endpoint, resp *http.Response, body []byte) {
 	j.trace.set("endpoint", e.ID)
 	j.trace.set("answer", resp.StatusCode)
+	x.Isolator.Finished(j.fingerprint)
 	copyHeader(w, resp)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(resp.StatusCode)
@@ -179,7 +180,8 @@
 }
 
 // fail notes a stream that broke off at e.
-func (x *Router) fail(j *job, e *enlister.Endpoint, reason string) {
+func (x *Router) fail(ctx context.Context, j *job, e *enlister.Endpoint, reason string) {
+	x.broke(ctx, j, e)
 	e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
 	x.logSend(j, e, "unknown", reason)
 }
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
@@ -22,6 +23,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
 )
 
 const (
@@ -29,6 +31,8 @@
 	defaultBody = 4 << 20
 	// unknownWait is what callers are told to wait for a host without a configuration.
 	unknownWait = time.Second
+	// convictedWait is what callers are told to wait whose request crashes endpoints.
+	convictedWait = time.Minute
 	// drainWait is what callers are told to wait by a host that stops: they go to another one.
 	drainWait = 100 * time.Millisecond
 )
@@ -40,6 +44,7 @@
 	Dialect    Dialect
 	Engines    Engines
 	Places     Places
+	Isolator   *isolator.Isolator
 	Endpoints  *enlister.Enlister
 	// Hosts returns the number of hosts that share the budget of extra sends; 0 if it is not known yet.
 	Hosts       func() int
@@ -116,6 +121,8 @@
 	// started is when the request came; expires is when its caller or its route gives up.
 	started time.Time
 	expires time.Time
+	// fingerprint tells requests apart that are the same work.
+	fingerprint uint64
 	// sends counts the endpoints that the request was sent to.
 	sends int
 	// reads counts the prefill engines that the request was sent to.
@@ -138,6 +145,11 @@
 		x.finish(w, j, *refusal)
 		return
 	}
+	j.fingerprint = fingerprint(j)
+	if x.Isolator.IsConvicted(j.fingerprint) {
+		x.finish(w, j, ending{status: http.StatusServiceUnavailable, reason: "endpoints crashed under this request", wait: convictedWait})
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.expires)
 	defer cancel()
 	switch {
@@ -150,6 +162,17 @@
 	}
 }
 
+// fingerprint is the same for the same method, host, path and body.
+func fingerprint(j *job) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{j.method, j.host, j.target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(j.body)
+	return d.Sum64()
+}
+
 // ending is a final answer of the router's own, or the note of how an endpoint's answer ended.
 type ending struct {
 	// status is 0 if an endpoint's answer was passed on.
--- a/transport/router/send.go
+++ b/transport/router/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -16,8 +17,14 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
-// maxAnswer bounds the bytes of an answer that is passed on whole.
-const maxAnswer = 16 << 20
+const (
+	// maxAnswer bounds the bytes of an answer that is passed on whole.
+	maxAnswer = 16 << 20
+	// crashPause is the time that a crashed endpoint takes to close its socket.
+	crashPause = 50 * time.Millisecond
+	// crashTimeout is how long an endpoint may take to accept a connection before it counts as crashed.
+	crashTimeout = 500 * time.Millisecond
+)
 
 // Outcome is what is known of a send that brought no answer to pass on.
 type Outcome uint8
@@ -104,26 +111,46 @@
 	if sent {
 		f.Outcome = Unknown
 	}
-	if !errors.Is(ctx.Err(), context.Canceled) {
-		e.Judge(func(h *ejector.Health) {
-			if sent {
-				h.Failed(x.Clock.Now())
-				return
-			}
-			h.Refused(x.Clock.Now())
-		})
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case sent:
+		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
+		x.broke(ctx, j, e)
+	default:
+		e.Judge(func(h *ejector.Health) { h.Refused(x.Clock.Now()) })
+		x.Isolator.Gone(e.ID)
 	}
 	x.logSend(j, e, [...]string{"not sent", "not run", "unknown"}[f.Outcome], f.Reason)
 	return f
 }
 
+// broke notes a request that an endpoint broke off before the request's time was over.
+func (x *Router) broke(ctx context.Context, j *job, e *enlister.Endpoint) {
+	if ctx.Err() != nil {
+		return
+	}
+	x.Isolator.Broke(e.ID, j.fingerprint)
+	go x.confirmGone(e)
+}
+
+// confirmGone finds out whether an endpoint that broke off a request has crashed.
+func (x *Router) confirmGone(e *enlister.Endpoint) {
+	x.Clock.Sleep(crashPause)
+	conn, err := net.DialTimeout("tcp", e.Address.String(), crashTimeout)
+	if err != nil {
+		x.Isolator.Gone(e.ID)
+		return
+	}
+	_ = conn.Close()
+}
+
 func (x *Router) logSend(j *job, e *enlister.Endpoint, outcome, reason string) {
 	eventer.Warn(x.Logs, eventer.SendFailed, "request", j.request.ID, "endpoint", e.ID, "service", e.Service,
 		"stage", e.Stage.String(), "outcome", outcome, "reason", reason, "sends", j.sends)
 }
 
 // whole reads an answer to its end. The error is a *SendError: a part of an answer is none.
-func (x *Router) whole(j *job, e *enlister.Endpoint, resp *http.Response) ([]byte, error) {
+func (x *Router) whole(ctx context.Context, j *job, e *enlister.Endpoint, resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
@@ -131,6 +158,7 @@
 	}
 	if err != nil {
 		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
+		x.broke(ctx, j, e)
 		x.logSend(j, e, "unknown", err.Error())
 		return nil, &SendError{Endpoint: e.ID, Outcome: Unknown, Reason: err.Error()}
 	}
@@ -145,7 +173,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := x.whole(j, e, resp)
+	body, err := x.whole(ctx, j, e, resp)
 	if err != nil {
 		return nil, nil, err
 	}
