--- a/parts/coordination/packer/readers.go
+++ b/parts/coordination/packer/readers.go
@@ -83,6 +83,18 @@
 // Speed returns the prompt tokens that an engine reads in a second.
 func (s *Readers) Speed(name string) float64 { return s.engine(name).speed() }
 
+// UsualSpeed returns the mean speed of all engines that have read prompts.
+func (s *Readers) UsualSpeed() float64 {
+	if len(s.engines) == 0 {
+		return firstTokens / firstBusy.Seconds()
+	}
+	sum := 0.0
+	for _, r := range s.engines {
+		sum += r.speed()
+	}
+	return sum / float64(len(s.engines))
+}
+
 // Assign counts a prompt.
 func (s *Readers) Assign(now time.Time, name, id string, tokens int) {
 	s.engine(name).open[id] = reading{tokens: tokens, at: now}
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
@@ -161,7 +160,7 @@
 	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
 		Orders: conductor.New(conductor.Options{
-			Holder: fmt.Sprintf("%s/%d", cfg.Name, incarnation), Topic: cfg.Topics.Duties, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
+			Holder: cfg.Name, Topic: cfg.Topics.Duties, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
 			Clock: clock, Logs: logs,
 		}),
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
--- a/transport/dispatcher/choose.go
+++ b/transport/dispatcher/choose.go
@@ -23,9 +23,8 @@
 	fullPause = 60 * time.Millisecond
 	// readerWindow is how much work a reading engine may have before others wait here, where they can be ordered.
 	readerWindow = 150 * time.Millisecond
-	// ownReading is the time for which a decode engine that reads a prompt itself is given no second one: prompts hold up
-	// the output of every generation there.
-	ownReading = 500 * time.Millisecond
+	// ownFactor is how much longer a decode engine takes to read a prompt itself: it reads between the tokens of others.
+	ownFactor = 2
 	// farPenalty is the share of an engine's memory that another data centre counts for: bytes between them are dear.
 	farPenalty = 0.1
 	// pauseShare is the part of the longest pause that events may take at the measured pace: it varies.
@@ -40,12 +39,16 @@
 	if !ok || service.Engine == nil {
 		return false
 	}
-	e := k.pickEngine(now, t, service.Engine.Stride)
+	stride := service.Engine.Stride
+	e := k.pickEngine(now, t, stride, func(*enlister.Endpoint) bool { return true })
 	if e == nil {
 		return false
 	}
-	r, ok := k.pickReader(now, e, t.ask.Prompt)
-	if !ok || (r == nil && now.Before(k.reading[e.ID])) {
+	r := k.pickReader(now, e, t.ask.Prompt)
+	if r == nil {
+		e = k.pickEngine(now, t, stride, func(e *enlister.Endpoint) bool { return k.mayRead(now, t, e, stride) })
+	}
+	if e == nil {
 		return false
 	}
 	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
@@ -54,7 +57,7 @@
 		begins = now.Add(k.readers.Backlog(now, r.ID) + k.readers.Time(r.ID, t.ask.Prompt))
 		k.readers.Assign(now, r.ID, t.ask.ID, t.ask.Prompt)
 	} else {
-		k.reading[e.ID] = now.Add(ownReading)
+		k.reading[e.ID] = now.Add(k.ownTime(t.ask.Prompt) + 2*k.packer.Pause(now, e.ID, stride))
 	}
 	k.packer.Add(e.ID, job, begins)
 	t.taking = true
@@ -94,14 +97,15 @@
 
 // pickEngine returns the decode engine that the request fills least, nil if none has room. An engine whose events come
 // too slowly for an answer in time is left to requests that are late, and to times when all are slow. The caller holds mu.
-func (k *desk) pickEngine(now time.Time, t *ticket, stride int) *enlister.Endpoint {
+func (k *desk) pickEngine(now time.Time, t *ticket, stride int, isUsable func(*enlister.Endpoint) bool) *enlister.Endpoint {
 	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
 	random := k.dispatcher.random()
 	var best, slow *enlister.Endpoint
 	var lowest, lowestSlow float64
 	usable, dragging := 0, 0
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
+		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) ||
+			!isUsable(e) {
 			continue
 		}
 		usable++
@@ -130,17 +134,15 @@
 	return best
 }
 
-// pickReader returns the reading engine that has the prompt read soonest. The result is nil and true if there is none at
-// all, and nil and false if all have enough to do. The caller holds mu.
-func (k *desk) pickReader(now time.Time, decode *enlister.Endpoint, prompt int) (*enlister.Endpoint, bool) {
+// pickReader returns the reading engine that has the prompt read soonest, nil if there is none or all have enough to do.
+// The caller holds mu.
+func (k *desk) pickReader(now time.Time, decode *enlister.Endpoint, prompt int) *enlister.Endpoint {
 	var best *enlister.Endpoint
 	var least time.Duration
-	listed := false
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
 		if e.Stage != enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
 			continue
 		}
-		listed = true
 		backlog := k.readers.Backlog(now, e.ID)
 		if backlog > readerWindow {
 			continue
@@ -153,7 +155,33 @@
 			best, least = e, ready
 		}
 	}
-	return best, best != nil || !listed
+	return best
+}
+
+// ownTime returns how long a decode engine takes to read a prompt itself.
+func (k *desk) ownTime(prompt int) time.Duration {
+	return time.Duration(ownFactor * float64(prompt) / k.readers.UsualSpeed() * float64(time.Second))
+}
+
+// hasReaders tells whether any engine reads prompts. The caller holds mu.
+func (k *desk) hasReaders(now time.Time) bool {
+	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
+		if e.Stage == enroller.Prefill && !e.IsEjected(now) && !k.isChanging(now, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRead tells whether a decode engine may read a prompt itself: one at a time, if the generations there still make
+// their events in time, and only while no engine reads. Prompts that decode engines read while others wait for a reading
+// engine hold up more than they help. The caller holds mu.
+func (k *desk) mayRead(now time.Time, t *ticket, e *enlister.Endpoint, stride int) bool {
+	if now.Before(k.reading[e.ID]) || k.hasReaders(now) {
+		return false
+	}
+	pause := k.ownTime(t.ask.Prompt) + k.packer.Pause(now, e.ID, stride)
+	return k.packer.Runs(e.ID) == 0 || pause <= time.Duration(pauseShare*float64(t.ask.MaxPause))
 }
 
 // take gets the hold for a placed request; without one the request waits on.
