Count runs of which nothing is known, and not those that have ended

A home that had not placed anything yet expected no output of a run whose hint it did not know, so those runs vanished from its forecast after 0.4 s, and it packed over them (pauses too long for 24 of 90 streams). Counting them showed a second fault: reports lag, and brought runs back that had ended. Tests, failing first: a run of which nothing is known takes memory; a report that lags does not bring an ended run back.

--- a/parts/coordination/packer/packer.go
+++ b/parts/coordination/packer/packer.go
@@ -21,6 +21,8 @@
 	rateWeight = 0.3
 	// rateMemory is how long a measured rate stands. An engine that was slow is then given work again.
 	rateMemory = 4 * time.Second
+	// usualOutput is the longest output in tokens of a run of which nothing is known at all.
+	usualOutput = 2000
 	// hintWeight is the part that the newest hint has in the moving average of hints.
 	hintWeight = 0.1
 	// settle is how long a run may be missing in an engine's reports after its start: reports lag.
@@ -94,15 +96,20 @@
 type Packer struct {
 	confidence float64
 	ratios     *Ratios
-	hint       float64
-	engines    map[string]*engine
-	places     map[string]string
+	// hint and most are what requests usually say of their output, for runs of which nothing is known.
+	hint    float64
+	most    float64
+	engines map[string]*engine
+	places  map[string]string
+	// ended tells when runs ended: a report that lags may still list them.
+	ended map[string]time.Time
 }
 
 // New returns a Packer that keeps confidence standard deviations of the predicted use free.
 func New(confidence float64) *Packer {
 	return &Packer{
 		confidence: confidence, ratios: NewRatios(), engines: make(map[string]*engine), places: make(map[string]string),
+		ended: make(map[string]time.Time),
 	}
 }
 
@@ -206,7 +213,25 @@
 	case p.hint > 0:
 		return p.hint
 	}
-	return float64(max(1, j.MaxOutput)) / 2
+	return max(float64(j.MaxOutput), p.most, usualOutput) / 2
+}
+
+// Asked learns what requests say of their output.
+func (p *Packer) Asked(j Job) {
+	if j.Hint > 0 {
+		p.hint = follow(p.hint, float64(j.Hint))
+	}
+	if j.MaxOutput > 0 {
+		p.most = follow(p.most, float64(j.MaxOutput))
+	}
+}
+
+// follow moves an average towards a value; 0 stands for none yet.
+func follow(average, value float64) float64 {
+	if average == 0 {
+		return value
+	}
+	return average + hintWeight*(value-average)
 }
 
 // Add counts a run at an engine from begins on.
@@ -215,14 +240,9 @@
 	if e == nil {
 		return
 	}
-	if j.Hint > 0 {
-		if p.hint == 0 {
-			p.hint = float64(j.Hint)
-		}
-		p.hint += hintWeight * (float64(j.Hint) - p.hint)
-	}
 	e.runs[j.ID] = &run{Job: j, begins: begins, hint: p.expected(j)}
 	e.stale = true
+	delete(p.ended, j.ID)
 	p.places[j.ID] = name
 }
 
@@ -233,8 +253,9 @@
 	}
 }
 
-// Remove drops a run that did not come to its end.
-func (p *Packer) Remove(id string) {
+// Remove drops a run that ended or did not begin.
+func (p *Packer) Remove(now time.Time, id string) {
+	p.ended[id] = now
 	if e := p.engines[p.places[id]]; e != nil {
 		delete(e.runs, id)
 		e.stale = true
@@ -243,7 +264,7 @@
 }
 
 // Finished drops a run that came to its end and learns from its output.
-func (p *Packer) Finished(id string, output int) {
+func (p *Packer) Finished(now time.Time, id string, output int) {
 	e := p.engines[p.places[id]]
 	if e == nil || e.runs[id] == nil {
 		return
@@ -251,7 +272,7 @@
 	if output > 0 {
 		p.ratios.Learn(float64(output) / max(1, e.runs[id].hint))
 	}
-	p.Remove(id)
+	p.Remove(now, id)
 }
 
 // Paced learns the rate of an engine from output that one of its runs made in took.
@@ -286,25 +307,30 @@
 	present := make(map[string]bool, len(seen))
 	for _, o := range seen {
 		present[o.ID] = true
-		if e.runs[o.ID] == nil {
+		if _, ended := p.ended[o.ID]; !ended && e.runs[o.ID] == nil {
 			output := o.Events * stride
 			begun := now.Add(-time.Duration(float64(output) / e.rate * float64(time.Second)))
-			p.Add(name, Job{ID: o.ID, Prompt: max(0, o.Tokens-output)}, begun)
+			p.Add(name, Job{ID: o.ID, Prompt: max(0, o.Tokens-output), MaxOutput: int(p.most)}, begun)
 		}
 	}
 	for id, r := range e.runs {
 		if !present[id] && now.Sub(r.begins) > settle {
-			p.Remove(id)
+			p.Remove(now, id)
 		}
 	}
 }
 
 // Expire drops runs that must have ended long ago.
 func (p *Packer) Expire(now time.Time) {
+	for id, at := range p.ended {
+		if now.Sub(at) > settle {
+			delete(p.ended, id)
+		}
+	}
 	for _, e := range p.engines {
 		for id, r := range e.runs {
 			if now.Sub(r.begins).Seconds() > overdue*r.longest()/e.rate+settle.Seconds() {
-				p.Remove(id)
+				p.Remove(now, id)
 			}
 		}
 	}
--- a/parts/coordination/packer/packer_test.go
+++ b/parts/coordination/packer/packer_test.go
@@ -53,7 +53,7 @@
 	p.Add("e", job("a"), epoch)
 	assert.Greater(t, p.Peak(epoch, "e", job("b"), epoch), before)
 	mean := p.ratios.Mean()
-	p.Finished("a", 8000)
+	p.Finished(epoch, "a", 8000)
 	assert.Zero(t, p.Runs("e"))
 	assert.Greater(t, p.ratios.Mean(), mean)
 }
@@ -66,6 +66,29 @@
 	assert.Zero(t, p.Runs("e"))
 }
 
+func TestARunOfWhichNothingIsKnownTakesMemoryAsLongAsOthers(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		p := packed()
+		if asked {
+			p.Asked(job("known"))
+		}
+		empty := p.Peak(epoch, "e", job("next"), epoch)
+		p.Observe(epoch, "e", 64, []Observed{{ID: "foreign", Tokens: 30_000, Events: 1}})
+		assert.Greater(t, p.Peak(epoch, "e", job("next"), epoch), empty+0.25, "asked: %t", asked)
+	}
+}
+
+func TestAReportThatLagsDoesNotBringAnEndedRunBack(t *testing.T) {
+	p := packed()
+	p.Add("e", job("a"), epoch)
+	p.Finished(epoch, "a", 4000)
+	p.Observe(epoch.Add(time.Second), "e", 64, []Observed{{ID: "a", Tokens: 8000, Events: 50}})
+	assert.Zero(t, p.Runs("e"))
+	p.Expire(epoch.Add(settle + 1))
+	p.Observe(epoch.Add(settle+1), "e", 64, []Observed{{ID: "a", Tokens: 8000, Events: 50}})
+	assert.Equal(t, 1, p.Runs("e"), "a run that still goes on is another one")
+}
+
 func TestAReportThatLagsDoesNotDropARunThatJustBegan(t *testing.T) {
 	p := packed()
 	p.Add("e", job("a"), epoch)
@@ -132,7 +155,7 @@
 			made := now.Sub(l.begins).Seconds() * rate
 			if made >= l.output {
 				delete(running, id)
-				p.Finished(id, int(l.output))
+				p.Finished(now, id, int(l.output))
 				continue
 			}
 			use += float64(l.Prompt) + made
--- a/transport/dispatcher/announce.go
+++ b/transport/dispatcher/announce.go
@@ -128,7 +128,7 @@
 	defer k.mu.Unlock()
 	k.resize()
 	for _, r := range w.Runs {
-		k.packer.Remove(r.ID)
+		k.packer.Remove(now, r.ID)
 		job := packer.Job{ID: r.ID, Prompt: r.Prompt, Hint: r.Hint, MaxOutput: r.Max}
 		k.packer.Add(r.Engine, job, now.Add(-milliseconds(r.Age)))
 	}
--- a/transport/dispatcher/choose.go
+++ b/transport/dispatcher/choose.go
@@ -194,14 +194,14 @@
 	defer k.mu.Unlock()
 	t.taking = false
 	if err != nil {
-		k.packer.Remove(t.ask.ID)
+		k.packer.Remove(now, t.ask.ID)
 		k.readers.Drop(t.ask.ID)
 		k.noteFailure(now, t, e, err)
 		k.nudge()
 		return
 	}
 	if t.done {
-		k.packer.Remove(t.ask.ID)
+		k.packer.Remove(now, t.ask.ID)
 		k.readers.Drop(t.ask.ID)
 		go k.release(e, hold)
 		return
--- a/transport/dispatcher/desk.go
+++ b/transport/dispatcher/desk.go
@@ -111,6 +111,7 @@
 		}
 		k.tickets[a.ID] = t
 		k.sizes.admit(a)
+		k.packer.Asked(packer.Job{Hint: a.Hint, MaxOutput: a.MaxOutput})
 	}
 	t.polled = now
 	if !k.watching {
@@ -166,14 +167,14 @@
 	case Paced:
 		k.packer.Paced(now, p.ID, p.Output, p.Took)
 	case Ended:
-		k.packer.Finished(p.ID, p.Output)
+		k.packer.Finished(now, p.ID, p.Output)
 		k.sizes.ended++
 	case Refused:
 		k.full[p.Engine] = now.Add(refusedPause)
-		k.packer.Remove(p.ID)
+		k.packer.Remove(now, p.ID)
 	case Failed:
 		k.readers.Drop(p.ID)
-		k.packer.Remove(p.ID)
+		k.packer.Remove(now, p.ID)
 		if t := k.tickets[p.ID]; t != nil {
 			k.drop(t)
 		}
@@ -185,11 +186,12 @@
 
 // drop forgets a request whose host asks no more, and gives its place up. The caller holds mu.
 func (k *desk) drop(t *ticket) {
+	now := k.dispatcher.Clock.Now()
 	t.done = true
 	delete(k.tickets, t.ask.ID)
 	select {
 	case answer := <-t.answer:
-		k.packer.Remove(t.ask.ID)
+		k.packer.Remove(now, t.ask.ID)
 		k.readers.Drop(t.ask.ID)
 		if e := k.find(answer.Engine); e != nil && answer.Hold != "" {
 			go k.release(e, answer.Hold)
--- a/transport/router/generate.go
+++ b/transport/router/generate.go
@@ -46,6 +46,8 @@
 		if err != nil {
 			break
 		}
+		j.trace.set("prompt", j.request.Prompt.Tokens)
+		j.trace.set("hint", j.request.Prompt.Hint)
 		j.trace.set("placed_ms", x.Clock.Now().Sub(j.started).Milliseconds())
 		settled, err := x.generateAt(ctx, l, p)
 		if settled {
