Take changed settings; let hosts whose seeds are gone find each other through the store

Cause: settings were read once, though their file may change with or without SIGHUP; a host with stale seeds met nobody. Tests, failing first: changed settings are taken and wrong ones leave the old in force; three hosts whose only seed is gone find each other.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
@@ -16,6 +17,7 @@
 	"github.com/hornbeamspan/hornbeamspan/platform"
 	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/router"
 )
 
 // memoryShare is the part of the memory limit at which the garbage collector works harder.
@@ -50,10 +52,18 @@
 	if err != nil {
 		return err
 	}
+	settings := watchedSettings{path: path, host: host, logs: logs}
+	settings.changed() // remembers the file as it was read
+	ticker := clock.NewTicker(settingsPeriod)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-reloads:
-			reload(path, logs)
+			settings.reload("signal")
+		case <-ticker.Chan():
+			if settings.changed() {
+				settings.reload("change")
+			}
 		case <-signals:
 			host.Drain(context.Background())
 			return nil
@@ -61,13 +71,42 @@
 	}
 }
 
-// reload checks the settings again. Addresses and limits of a running host stay as they are.
-func reload(path string, logs hclog.Logger) {
-	if _, err := platform.Load(path); err != nil {
-		eventer.Error(logs, eventer.Reloaded, "path", path, "error", err.Error())
+// settingsPeriod is how often the settings file is looked at: it may change without a signal.
+const settingsPeriod = time.Second
+
+// watchedSettings is the settings file of a running host.
+type watchedSettings struct {
+	path string
+	host *assembler.RoutingHost
+	logs hclog.Logger
+	seen os.FileInfo
+}
+
+// changed tells whether the file is another one than at the last look.
+func (w *watchedSettings) changed() bool {
+	info, err := os.Stat(w.path)
+	if err != nil {
+		return false // the platform is about to replace it
+	}
+	old := w.seen
+	w.seen = info
+	return old != nil && (info.Size() != old.Size() || !info.ModTime().Equal(old.ModTime()))
+}
+
+// reload reads the settings again and puts the budget of extra sends in force. Addresses, names and times of a running
+// host stay as they are.
+func (w *watchedSettings) reload(why string) {
+	s, err := platform.Load(w.path)
+	if err != nil {
+		eventer.Error(w.logs, eventer.Reloaded, "path", w.path, "why", why, "error", err.Error())
 		return
 	}
-	eventer.Info(logs, eventer.Reloaded, "path", path)
+	w.host.SetRetry(retryBudget(s))
+	eventer.Info(w.logs, eventer.Reloaded, "path", w.path, "why", why, "retryratio", s.RetryRatio, "retryslack", s.RetrySlack)
+}
+
+func retryBudget(s platform.Settings) router.RetryBudget {
+	return router.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
 }
 
 func routingConfig(s platform.Settings) assembler.RoutingConfig {
@@ -76,7 +115,8 @@
 		Operators: s.Operators, Seeds: s.Seeds, PeerKey: version.Version,
 		Store: platform.NewStore(s.Store),
 		Topics: assembler.Topics{
-			Config: platform.ConfigTopic, ConfigKey: platform.ConfigKey, Endpoints: platform.EndpointTopic, Duties: platform.DutyTopic,
+			Config: platform.ConfigTopic, ConfigKey: platform.ConfigKey, Endpoints: platform.EndpointTopic,
+			Hosts: platform.HostTopic, Duties: platform.DutyTopic,
 		},
 		DecodeTable:    platform.Table,
 		DecodeEndpoint: platform.Endpoint,
@@ -85,7 +125,7 @@
 		ReadyRoute:     platform.ReadyRoute,
 		DirectoryRoute: platform.DirectoryRoute,
 		Grace:          s.Grace, ApplyTime: s.ApplyTime, ContactTime: s.ContactTime,
-		Lease:      leaser.Config{Lease: s.Lease, Margin: s.Thaw},
-		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		Lease: leaser.Config{Lease: s.Lease, Margin: s.Thaw},
+		Retry: retryBudget(s),
 	}
 }
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -43,7 +43,11 @@
 	desk     []*platformer.Endpoint
 	hosts    []*assembler.RoutingHost
 	settings []platform.Settings
-	version  int
+	// staleSeeds gives new hosts a seed that is gone.
+	staleSeeds bool
+	// text is the settings file of the newest host.
+	text    string
+	version int
 }
 
 // route is a route of the rig's configuration.
@@ -127,6 +131,9 @@
 	for _, s := range r.settings {
 		seeds = append(seeds, fmt.Sprintf("%q", s.Peers))
 	}
+	if r.staleSeeds {
+		seeds = []string{`"127.0.0.1:1"`}
+	}
 	name := fmt.Sprintf("front-%d", len(r.hosts))
 	text := fmt.Sprintf(`
 nodeName = %q
@@ -159,6 +166,7 @@
 [platform]
 address = %q
 `, name, len(r.hosts)%2, r.free().Port(), strings.Join(seeds, ","), r.free(), r.free(), r.free(), r.free(), r.store.Address())
+	r.text = text
 	path := filepath.Join(r.t.TempDir(), "local.toml")
 	require.NoError(r.t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := platform.Load(path)
@@ -610,3 +618,34 @@
 	assert.Equal(t, http.StatusServiceUnavailable, r.call(0, http.MethodPost, "/submit/", platformer.Poison).status)
 	assert.Equal(t, http.StatusOK, r.call(0, http.MethodPost, "/submit/", "one proposal").status)
 }
+
+func TestChangedSettingsAreTakenAndWrongOnesLeaveTheOldInForce(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	for _, e := range r.desk {
+		e.SetFault(platformer.Fail)
+	}
+	path := filepath.Join(t.TempDir(), "local.toml")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	watched := watchedSettings{path: path, host: r.hosts[0], logs: hclog.NewNullLogger()}
+	write("nodeName = ")
+	assert.False(t, watched.changed(), "the first look")
+	watched.reload("test")
+	r.call(0, http.MethodGet, "/lookup/1", "")
+	assert.Equal(t, 2, r.desk[0].Sent()+r.desk[1].Sent(), "the old budget allows a second send")
+	write(strings.Replace(r.text, "budgetSlack = 12", "budgetSlack = 0", 1))
+	assert.True(t, watched.changed())
+	assert.False(t, watched.changed())
+	watched.reload("test")
+	r.call(0, http.MethodGet, "/lookup/1", "")
+	assert.Equal(t, 3, r.desk[0].Sent()+r.desk[1].Sent())
+}
+
+func TestHostsWhoseSeedsAreGoneFindEachOtherThroughTheStore(t *testing.T) {
+	r := newRig(t, sizes{desk: 1})
+	r.staleSeeds = true
+	for range 3 {
+		r.addHost()
+	}
+	r.started()
+}
--- a/parts/coordination/tracker/tracker.go
+++ b/parts/coordination/tracker/tracker.go
@@ -110,6 +110,15 @@
 // Leave marks the own host as leaving.
 func (t *Tracker) Leave() { t.self.State = Leaving }
 
+// AddSeeds adds addresses of other hosts to try.
+func (t *Tracker) AddSeeds(seeds []netip.AddrPort) {
+	for _, s := range seeds {
+		if !slices.Contains(t.seeds, s) {
+			t.seeds = append(t.seeds, s)
+		}
+	}
+}
+
 // Self returns the own host.
 func (t *Tracker) Self() Member { return t.self }
 
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -24,6 +24,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/introducer"
 	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
 	"github.com/hornbeamspan/hornbeamspan/transport/listener"
 	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
@@ -37,6 +38,8 @@
 	Config    string
 	ConfigKey string
 	Endpoints string
+	// Hosts has the addresses of hosts for each other.
+	Hosts string
 	// Duties has the holders of engines' orders.
 	Duties string
 }
@@ -81,10 +84,8 @@
 	// ContactTime is how long a silent host may contradict before it is held for dead.
 	ContactTime time.Duration
 	// Lease bounds the duty of ordering engines.
-	Lease       leaser.Config
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	Lease leaser.Config
+	Retry router.RetryBudget
 }
 
 const (
@@ -167,7 +168,7 @@
 	})
 	h.router = router.New(router.Options{
 		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places, Isolator: isolating,
-		Hosts: h.sharers, RetryRatio: cfg.RetryRatio, RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow,
+		Hosts: h.sharers, Retry: cfg.Retry,
 		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	if err := h.listen(); err != nil {
@@ -275,11 +276,18 @@
 		Log: h.cfg.Store, Topic: h.cfg.Topics.Endpoints, Sink: h.endpoints, Wait: pause, Pause: pause,
 		Clock: h.clock, Logs: h.logs,
 	})
-	for _, part := range []func(context.Context){config.Run, endpoints.Run, h.gossiper.Run} {
+	introducing := introducer.New(introducer.Options{
+		Topic: h.cfg.Topics.Hosts, Host: h.cfg.Name, Address: h.cfg.Peers, Store: h.cfg.Store, Hosts: h.gossiper,
+		Clock: h.clock, Logs: h.logs,
+	})
+	for _, part := range []func(context.Context){config.Run, endpoints.Run, h.gossiper.Run, introducing.Run} {
 		h.wait.Go(func() { part(ctx) })
 	}
 }
 
+// SetRetry puts another budget of extra sends in force.
+func (h *RoutingHost) SetRetry(b router.RetryBudget) { h.router.SetRetry(b) }
+
 // Drain leaves the addresses given to callers, serves those who still come, and stops within the grace time.
 func (h *RoutingHost) Drain(ctx context.Context) {
 	begun := h.clock.Now()
--- /dev/null
+++ b/transport/introducer/introducer.go
@@ -0,0 +1,128 @@
+// Package introducer has hosts find each other through the platform's log when their seeds are of no use.
+package introducer
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
+	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+)
+
+const (
+	// lookAfter is how long seeds are tried alone, and the time between two looks at the log.
+	lookAfter = 2 * time.Second
+	// retryPause is the time before another try to write the own entry.
+	retryPause = time.Second
+	// callTimeout bounds one call to the log.
+	callTimeout = 2 * time.Second
+)
+
+// Store is the platform's log.
+type Store interface {
+	Newest(ctx context.Context, topic, after string) (tailer.Page, error)
+	Put(ctx context.Context, topic, key string, value []byte, end *uint64) (uint64, error)
+}
+
+// Hosts are the hosts that are known.
+type Hosts interface {
+	// Met returns the number of other hosts that were ever met.
+	Met() int
+	// AddSeeds adds addresses to try.
+	AddSeeds(seeds []netip.AddrPort)
+}
+
+// Options are the settings of an Introducer.
+type Options struct {
+	Topic   string
+	Host    string
+	Address netip.AddrPort
+	Store   Store
+	Hosts   Hosts
+	Clock   clockwork.Clock
+	Logs    hclog.Logger
+}
+
+// Introducer writes where this host can be reached, and reads where others can.
+type Introducer struct {
+	options Options
+	done    chan struct{}
+}
+
+// New returns an Introducer.
+func New(o Options) *Introducer { return &Introducer{options: o, done: make(chan struct{})} }
+
+// Done is closed once Run has returned.
+func (i *Introducer) Done() <-chan struct{} { return i.done }
+
+// entry is the value of a host's key.
+type entry struct {
+	Address netip.AddrPort `json:"address"`
+}
+
+// Run writes the own entry, then looks for others until one was met or ctx ends.
+func (i *Introducer) Run(ctx context.Context) {
+	defer close(i.done)
+	for i.write(ctx) != nil {
+		if !i.sleep(ctx, retryPause) {
+			return
+		}
+	}
+	for i.sleep(ctx, lookAfter) && i.options.Hosts.Met() == 0 {
+		i.look(ctx)
+	}
+}
+
+func (i *Introducer) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-i.options.Clock.After(d):
+		return true
+	}
+}
+
+func (i *Introducer) write(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value, err := json.Marshal(entry{Address: i.options.Address})
+	if err == nil {
+		_, err = i.options.Store.Put(ctx, i.options.Topic, i.options.Host, value, nil)
+	}
+	if err != nil {
+		eventer.Warn(i.options.Logs, eventer.NotIntroduced, "host", i.options.Host, "error", err.Error())
+	}
+	return err
+}
+
+// look takes the entries of other hosts as seeds. They may be of hosts that are gone.
+func (i *Introducer) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	after := ""
+	var seeds []netip.AddrPort
+	for {
+		page, err := i.options.Store.Newest(ctx, i.options.Topic, after)
+		if err != nil {
+			eventer.Warn(i.options.Logs, eventer.NotIntroduced, "host", i.options.Host, "error", err.Error())
+			return
+		}
+		for _, r := range page.Records {
+			after = r.Key
+			var e entry
+			if json.Unmarshal(r.Value, &e) == nil && e.Address.IsValid() && r.Key != i.options.Host {
+				seeds = append(seeds, e.Address)
+			}
+		}
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+	}
+	eventer.Info(i.options.Logs, eventer.Introduced, "host", i.options.Host, "seeds", len(seeds))
+	i.options.Hosts.AddSeeds(seeds)
+}
--- a/transport/router/router.go
+++ b/transport/router/router.go
@@ -37,6 +37,14 @@
 	drainWait = 100 * time.Millisecond
 )
 
+// RetryBudget bounds the sends beyond the first to a service, over all hosts: in each Window, Ratio for each request and
+// Slack besides.
+type RetryBudget struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
 // Options are the parts and settings of a Router.
 type Options struct {
 	Host       string
@@ -47,14 +55,12 @@
 	Isolator   *isolator.Isolator
 	Endpoints  *enlister.Enlister
 	// Hosts returns the number of hosts that share the budget of extra sends; 0 if it is not known yet.
-	Hosts       func() int
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
-	Clock       clockwork.Clock
-	Random      *rand.Rand
-	Logs        hclog.Logger
-	Scope       tally.Scope
+	Hosts  func() int
+	Retry  RetryBudget
+	Clock  clockwork.Clock
+	Random *rand.Rand
+	Logs   hclog.Logger
+	Scope  tally.Scope
 }
 
 // Router serves one door for callers.
@@ -261,19 +267,32 @@
 	}, j.trace.pairs()...)...)
 }
 
-// slack returns this host's part of the extra sends that all hosts share.
+// slack returns this host's part of the extra sends that all hosts share. The caller holds mu.
 func (x *Router) slack() float64 {
 	n := x.Hosts()
 	if n == 0 {
 		return 0
 	}
-	return x.RetrySlack / float64(n)
+	return x.Retry.Slack / float64(n)
+}
+
+// SetRetry puts another budget in force. What was spent before is counted no more only if the window changes.
+func (x *Router) SetRetry(b RetryBudget) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if b.Window != x.Retry.Window {
+		clear(x.budgets)
+	}
+	for _, w := range x.budgets {
+		w.Ratio = b.Ratio
+	}
+	x.Retry = b
 }
 
 func (x *Router) budget(service string) *limiter.Window {
 	b := x.budgets[service]
 	if b == nil {
-		b = &limiter.Window{Span: x.RetryWindow, Ratio: x.RetryRatio}
+		b = &limiter.Window{Span: x.Retry.Window, Ratio: x.Retry.Ratio}
 		x.budgets[service] = b
 	}
 	return b
