Move a home only for a host that alone has lost the store; measure before ordering

After all hosts had lost power, a new home did not know that an engine was on its way. Test, failing first with the former rule: an outage that hosts notice one by one passes nobody over.

--- a/transport/dispatcher/balance.go
+++ b/transport/dispatcher/balance.go
@@ -62,7 +62,10 @@
 	now := d.Clock.Now()
 	k.mu.Lock()
 	load := k.load(now, service.Engine.Memory, service.Engine.Slots)
-	move := k.stager.Decide(now, load)
+	move := stager.Stay
+	if now.Sub(k.since) >= warmUp {
+		move = k.stager.Decide(now, load)
+	}
 	target := enroller.Decode
 	if move == stager.ToPrefill {
 		target = enroller.Prefill
--- a/transport/dispatcher/watch.go
+++ b/transport/dispatcher/watch.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// busyPause is how long an engine is not asked after its report told of an order; the next report comes sooner.
-	busyPause = reportPeriod + time.Second
 	// reportPeriod is the time between questions for engines' reports, while requests come.
 	reportPeriod = 2 * time.Second
 	// warmPeriod is the time between questions for reports while a home is new.
@@ -81,8 +79,20 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if load.Busy {
-		// An order of an earlier home is being carried out, whatever the engine's entry says.
-		k.full[e.ID] = k.dispatcher.Clock.Now().Add(busyPause)
+		k.noteBusy(e, service.Engine.SwitchTime)
 	}
 	k.packer.Observe(k.dispatcher.Clock.Now(), e.ID, service.Engine.Stride, load.Runs)
 }
+
+// noteBusy takes in that an engine carries out an order of an earlier home, whatever its entry says. The caller holds mu.
+func (k *desk) noteBusy(e *enlister.Endpoint, switching time.Duration) {
+	now := k.dispatcher.Clock.Now()
+	if k.isChanging(now, e) {
+		return
+	}
+	target := enroller.Prefill
+	if e.Stage == enroller.Prefill {
+		target = enroller.Decode
+	}
+	k.changes[e.ID] = change{stage: target, until: now.Add(switching + reportPeriod)}
+}
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -56,13 +56,17 @@
 	states  map[string]tracker.Member
 	blind   bool
 	serving atomic.Pointer[serving]
-	done    chan struct{}
+	// passed are hosts that others passed over as homes, by when that became due.
+	passed map[string]time.Time
+	done   chan struct{}
 }
 
 // serving are the hosts that homes are chosen from. It does not change; each change of the list makes a new one.
 type serving struct {
 	members []tracker.Member
 	names   []string
+	// steady are those of the members that may be homes with much to learn.
+	steady map[string]tracker.Member
 }
 
 // New returns a Gossiper and takes the kinds of messages it answers.
@@ -71,6 +75,7 @@
 		options: o,
 		tracker: tracker.New(o.Config, o.Self, o.Seeds, o.Random),
 		states:  make(map[string]tracker.Member),
+		passed:  make(map[string]time.Time),
 		done:    make(chan struct{}),
 	}
 	g.rebuild()
@@ -125,7 +130,7 @@
 		}
 	}
 	self := g.tracker.Self()
-	if changed || len(members) != len(g.states) || self.Blind != g.blind {
+	if changed || len(members) != len(g.states) || self.Blind != g.blind || len(g.passed) > 0 {
 		g.blind = self.Blind
 		g.rebuild()
 	}
@@ -147,6 +152,7 @@
 	for _, m := range next.members {
 		next.names = append(next.names, m.Name)
 	}
+	next.steady = g.steady(next.members)
 	g.serving.Store(next)
 }
 
@@ -272,6 +278,16 @@
 	return g.tracker.Self()
 }
 
+// Met returns the number of other hosts that were met.
+func (g *Gossiper) Met() int { return len(g.Members()) }
+
+// AddSeeds adds addresses of other hosts to try.
+func (g *Gossiper) AddSeeds(seeds []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.AddSeeds(seeds)
+}
+
 // Members returns all other hosts.
 func (g *Gossiper) Members() []tracker.Member {
 	g.mu.Lock()
@@ -298,36 +314,6 @@
 	return 2*serving > known
 }
 
-// cohort is how much later than the oldest host one may have started to be a steady home: a host that was restarted does
-// not take its homes back.
-const cohort = 2 * time.Second
-
-// SteadyHome returns the host among those running longest that serves key for all, and whether it is the own one. A
-// home with much to learn moves less often so. Hosts that do not reach the platform's log come last.
-func (g *Gossiper) SteadyHome(key string) (tracker.Member, bool) {
-	members := g.serving.Load().members
-	if seeing := slices.DeleteFunc(slices.Clone(members), func(m tracker.Member) bool { return m.Blind }); len(seeing) > 0 {
-		members = seeing
-	}
-	if len(members) == 0 {
-		return g.Self(), true
-	}
-	oldest := members[0].Incarnation
-	for _, m := range members {
-		oldest = min(oldest, m.Incarnation)
-	}
-	byName := make(map[string]tracker.Member)
-	var names []string
-	for _, m := range members {
-		if m.Incarnation-oldest <= uint64(cohort) {
-			byName[m.Name] = m
-			names = append(names, m.Name)
-		}
-	}
-	home := byName[ranker.Home(key, names)]
-	return home, home.Name == g.options.Self.Name
-}
-
 // Home returns the host that serves key for all, and whether it is the own one.
 func (g *Gossiper) Home(key string) (tracker.Member, bool) {
 	s := g.serving.Load()
--- /dev/null
+++ b/transport/gossiper/steady.go
@@ -0,0 +1,77 @@
+package gossiper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+)
+
+const (
+	// cohort is how much later than the oldest host one may have started to be a steady home: a host that was restarted
+	// does not take its homes back.
+	cohort = 2 * time.Second
+	// passAfter is how long a host must have been blind while most others see before it is passed over. In an outage of
+	// the log hosts notice its loss and its return at different moments, and homes must not move about for that.
+	passAfter = 2 * time.Second
+)
+
+// steady returns the hosts that may be homes with much to learn. The caller holds mu.
+func (g *Gossiper) steady(members []tracker.Member) map[string]tracker.Member {
+	candidates := g.seeing(time.Now(), members)
+	steady := make(map[string]tracker.Member)
+	if len(candidates) == 0 {
+		return steady
+	}
+	oldest := slices.MinFunc(candidates, func(a, b tracker.Member) int {
+		if a.Incarnation < b.Incarnation {
+			return -1
+		}
+		return 1
+	}).Incarnation
+	for _, m := range candidates {
+		if m.Incarnation-oldest <= uint64(cohort) {
+			steady[m.Name] = m
+		}
+	}
+	return steady
+}
+
+// seeing leaves out hosts that are blind while most others have been seeing for passAfter. The caller holds mu.
+func (g *Gossiper) seeing(now time.Time, members []tracker.Member) []tracker.Member {
+	blind := 0
+	for _, m := range members {
+		if m.Blind {
+			blind++
+		}
+	}
+	if 2*blind >= len(members) {
+		clear(g.passed)
+		return members
+	}
+	maps.DeleteFunc(g.passed, func(name string, _ time.Time) bool {
+		return !slices.ContainsFunc(members, func(m tracker.Member) bool { return m.Name == name && m.Blind })
+	})
+	return slices.DeleteFunc(slices.Clone(members), func(m tracker.Member) bool {
+		if !m.Blind {
+			return false
+		}
+		if _, ok := g.passed[m.Name]; !ok {
+			g.passed[m.Name] = now
+		}
+		return now.Sub(g.passed[m.Name]) >= passAfter
+	})
+}
+
+// SteadyHome returns the host among those running longest that serves key for all, and whether it is the own one. A
+// home with much to learn moves less often so. Hosts that are cut off from the platform's log are passed over.
+func (g *Gossiper) SteadyHome(key string) (tracker.Member, bool) {
+	steady := g.serving.Load().steady
+	if len(steady) == 0 {
+		return g.Self(), true
+	}
+	home := steady[ranker.Home(key, slices.Collect(maps.Keys(steady)))]
+	return home, home.Name == g.options.Self.Name
+}
--- /dev/null
+++ b/transport/gossiper/steady_test.go
@@ -0,0 +1,58 @@
+package gossiper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func members(n int, blind ...int) []tracker.Member {
+	var list []tracker.Member
+	for i := range n {
+		m := tracker.Member{Name: fmt.Sprintf("host-%d", i), Incarnation: 1000}
+		for _, b := range blind {
+			m.Blind = m.Blind || b == i
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func names(list []tracker.Member) []string {
+	found := []string{}
+	for _, m := range list {
+		found = append(found, m.Name)
+	}
+	return found
+}
+
+func TestAHostThatAloneIsCutOffFromTheLogIsPassedOverAfterAWhile(t *testing.T) {
+	g := &Gossiper{passed: make(map[string]time.Time)}
+	assert.Len(t, g.seeing(epoch, members(3, 0)), 3)
+	assert.Len(t, g.seeing(epoch.Add(passAfter-1), members(3, 0)), 3)
+	assert.Equal(t, []string{"host-1", "host-2"}, names(g.seeing(epoch.Add(passAfter), members(3, 0))))
+	assert.Len(t, g.seeing(epoch.Add(passAfter), members(3)), 3, "it sees again")
+}
+
+func TestAnOutageOfTheLogThatHostsNoticeOneByOnePassesNobodyOver(t *testing.T) {
+	g := &Gossiper{passed: make(map[string]time.Time)}
+	for i, blind := range [][]int{{0}, {0, 1}, {0, 1, 2}, {0, 1, 2, 3}, {0, 2, 3}, {0, 3}, {0}, {}} {
+		at := epoch.Add(time.Duration(i) * 500 * time.Millisecond)
+		assert.Len(t, g.seeing(at, members(4, blind...)), 4, "step %d", i)
+	}
+}
+
+func TestAHostThatWasRestartedDoesNotTakeItsHomesBack(t *testing.T) {
+	g := &Gossiper{passed: make(map[string]time.Time)}
+	list := members(3)
+	list[1].Incarnation += uint64(time.Minute)
+	steady := g.steady(list)
+	assert.Len(t, steady, 2)
+	assert.NotContains(t, steady, "host-1")
+}
