--- a/parts/coordination/tracker/tracker.go
+++ b/parts/coordination/tracker/tracker.go
@@ -98,13 +98,17 @@
 func (t *Tracker) SetRules(version uint64) { t.rules = version }
 
 // SetBlind tells whether the own host reaches the platform's log. A change counts as a new incarnation, so that it
-// replaces what others know.
-func (t *Tracker) SetBlind(blind bool) {
+// replaces what others know. A host that sees again counts as one that has just started: what it was trusted with went to
+// others, and is to stay there.
+func (t *Tracker) SetBlind(now time.Time, blind bool) {
 	if t.self.Blind == blind {
 		return
 	}
 	t.self.Blind = blind
 	t.self.Incarnation++
+	if !blind {
+		t.self.Incarnation = max(t.self.Incarnation, uint64(now.UnixNano()))
+	}
 }
 
 // Leave marks the own host as leaving.
--- a/parts/coordination/tracker/tracker_test.go
+++ b/parts/coordination/tracker/tracker_test.go
@@ -153,3 +153,15 @@
 		})
 	}
 }
+
+func TestAHostThatSeesAgainCountsAsOneThatHasJustStarted(t *testing.T) {
+	tr := New(testConfig, Member{Name: "a", Incarnation: uint64(epoch.UnixNano())}, nil, rand.New(rand.NewPCG(1, 2)))
+	tr.SetBlind(epoch.Add(5*time.Second), true)
+	assert.True(t, tr.Self().Blind)
+	assert.Equal(t, uint64(epoch.UnixNano())+1, tr.Self().Incarnation, "it was blind from its start on")
+	tr.SetBlind(epoch.Add(9*time.Second), false)
+	assert.Equal(t, uint64(epoch.Add(9*time.Second).UnixNano()), tr.Self().Incarnation)
+	before := tr.Self()
+	tr.SetBlind(epoch.Add(10*time.Second), false)
+	assert.Equal(t, before, tr.Self(), "nothing changed")
+}
--- a/transport/gossiper/gossiper.go
+++ b/transport/gossiper/gossiper.go
@@ -110,7 +110,7 @@
 	defer g.mu.Unlock()
 	g.tracker.SetRules(g.options.Rules.Version())
 	if g.options.IsBlind != nil {
-		g.tracker.SetBlind(g.options.IsBlind())
+		g.tracker.SetBlind(time.Now(), g.options.IsBlind())
 	}
 	sends := g.tracker.Tick(time.Now())
 	g.note()
--- a/transport/gossiper/steady.go
+++ b/transport/gossiper/steady.go
@@ -15,7 +15,7 @@
 	cohort = 2 * time.Second
 	// passAfter is how long a host must have been blind while most others see before it is passed over. In an outage of
 	// the log hosts notice its loss and its return at different moments, and homes must not move about for that.
-	passAfter = 2 * time.Second
+	passAfter = time.Second
 )
 
 // steady returns the hosts that may be homes with much to learn. The caller holds mu.
