Have prompts that were not read go to another reading engine, never to the decode engine of others

Change: a prompt that fails is read by another reading engine, within the budget, or the place is given back and another one asked for, three at most; a decode engine reads one itself only while no engine reads, and only if its other generations still make their events in time. Also: ports of the tests come from a range that the system gives to nobody (one start failed on a port given out twice).

--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,12 +118,22 @@
 	return r
 }
 
-// free returns a loopback address with a port that is free now.
+// firstPort is below the ports that the system gives to connections and to servers that ask for any.
+const firstPort = 21000
+
+var ports atomic.Uint32
+
+// free returns a loopback address with a port that is free and that nobody else is given.
 func (r *rig) free() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(r.t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	for {
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+ports.Add(1))
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return netip.MustParseAddrPort(at)
+	}
 }
 
 // addHost writes a settings file as the platform does, and starts a host by it.
--- a/transport/dispatcher/choose.go
+++ b/transport/dispatcher/choose.go
@@ -46,7 +46,7 @@
 	}
 	r := k.pickReader(now, e, t.ask.Prompt)
 	if r == nil {
-		e = k.pickEngine(now, t, stride, func(e *enlister.Endpoint) bool { return k.mayRead(now, e) })
+		e = k.pickEngine(now, t, stride, func(e *enlister.Endpoint) bool { return k.mayRead(now, t, e, stride) })
 	}
 	if e == nil {
 		return false
@@ -173,10 +173,15 @@
 	return false
 }
 
-// mayRead tells whether a decode engine may read a prompt itself: one at a time, and only while no engine reads. Prompts
-// that decode engines read while others wait for a reading engine hold up more than they help. The caller holds mu.
-func (k *desk) mayRead(now time.Time, e *enlister.Endpoint) bool {
-	return !now.Before(k.reading[e.ID]) && !k.hasReaders(now)
+// mayRead tells whether a decode engine may read a prompt itself: only while no engine reads, one at a time, and only if
+// the generations there still make their events in time. Prompts that decode engines read while others wait for a reading
+// engine hold up more than they help. The caller holds mu.
+func (k *desk) mayRead(now time.Time, t *ticket, e *enlister.Endpoint, stride int) bool {
+	if now.Before(k.reading[e.ID]) || k.hasReaders(now) {
+		return false
+	}
+	pause := k.ownTime(t.ask.Prompt) + k.packer.Pause(now, e.ID, stride)
+	return k.packer.Runs(e.ID) <= 1 || pause <= time.Duration(pauseShare*float64(t.ask.MaxPause))
 }
 
 // take gets the hold for a placed request; without one the request waits on.
--- a/transport/router/generate.go
+++ b/transport/router/generate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
@@ -21,6 +22,8 @@
 	usualLead = 250 * time.Millisecond
 	// leadWeight is the part that the newest lead has in the moving average.
 	leadWeight = 0.1
+	// maxPlaces is how many places one request may take: where prompts cannot be read, others wait in vain meanwhile.
+	maxPlaces = 3
 	// waitShare is the part of the time left that a request may wait for a place.
 	waitShare = 0.35
 )
@@ -36,7 +39,7 @@
 	x.countRequest(j.service.Name)
 	l := x.newRelay(w, j)
 	failed := &SendError{Outcome: NotSent, Reason: "no engine has room"}
-	for ctx.Err() == nil {
+	for range maxPlaces {
 		p, err := x.Places.Place(ctx, x.ask(j))
 		var refused *dispatcher.RefusedError
 		if errors.As(err, &refused) {
@@ -106,22 +109,70 @@
 }
 
 // generateAt has the prompt read and the answer generated at a place.
-func (x *Router) generateAt(ctx context.Context, l *relay, p dispatcher.Place) (bool, error) {
+func (x *Router) generateAt(ctx context.Context, l *relay, p dispatcher.Place) (settled bool, err error) {
 	j := l.j
-	placed := x.Clock.Now()
-	src := x.prefill(ctx, j, p)
-	if ctx.Err() != nil {
+	before := l.count
+	defer func() { x.tellEnd(l, settled, l.count-before) }()
+	l.follow(x.Clock.Now())
+	tried := make(map[string]bool)
+	src, err := x.readPrompt(ctx, j, p, tried)
+	if err != nil {
 		x.release(j, src, p)
-		return false, &SendError{Endpoint: p.Engine.ID, Outcome: NotSent, Reason: "given up while the prompt was read"}
+		return false, err
+	}
+	settled, err = l.run(ctx, p.Engine, x.sendFrom(src, p))
+	var failed *SendError
+	if errors.As(err, &failed) && failed.Outcome == NotRun && src != nil && ctx.Err() == nil {
+		settled, err = x.generateAgain(ctx, l, p, src, tried)
+	}
+	if !errors.As(err, &failed) || ctx.Err() != nil {
+		return settled, err
+	}
+	if failed.Outcome == NotRun {
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Refused, Engine: p.Engine.ID})
+	} else {
+		x.tell(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: p.Engine.ID})
 	}
-	s := Send{Hold: p.Hold}
-	if x.Clock.Now().After(p.Until.Add(-holdReserve)) {
-		s.Hold = ""
+	if failed.Outcome != Unknown {
+		x.release(j, src, p)
+	}
+	return settled, err
+}
+
+// generateAgain has the prompt read by another engine after the KV cache of src could not be had, and goes to the same
+// decode engine once more.
+func (x *Router) generateAgain(ctx context.Context, l *relay, p dispatcher.Place, src *source, tried map[string]bool) (bool, error) {
+	j := l.j
+	refused := &SendError{Endpoint: p.Engine.ID, Outcome: NotRun, Reason: "the KV cache of " + src.engine.ID + " is not to be had"}
+	j.trace.step("KV cache of %s not to be had", src.engine.ID)
+	x.tell(j, dispatcher.Progress{Step: dispatcher.Lost, Engine: src.engine.ID})
+	tried[src.engine.ID] = true
+	p.Reader = x.otherReader(j, tried)
+	if p.Reader == nil || !x.mayResend(j.service.Name) { // the send to the decode engine; readPrompt counts its own
+		return false, refused
+	}
+	next, err := x.readPrompt(ctx, j, p, tried)
+	if err != nil {
+		return false, refused
+	}
+	return l.run(ctx, p.Engine, x.sendFrom(next, p))
+}
+
+// sendFrom returns the send to a place with the KV cache of src, if there is one.
+func (x *Router) sendFrom(src *source, p dispatcher.Place) Send {
+	var s Send
+	if x.Clock.Now().Before(p.Until.Add(-holdReserve)) {
+		s.Hold = p.Hold
 	}
 	if src != nil {
 		s.Source, s.Handle = src.engine.Address, src.handle
 	}
-	before := l.count
+	return s
+}
+
+// follow has the home told of how the stream goes on.
+func (l *relay) follow(placed time.Time) {
+	x, j := l.router, l.j
 	l.began = func() {
 		x.learnLead(j.service.Name, x.Clock.Now().Sub(placed))
 		x.tell(j, dispatcher.Progress{Step: dispatcher.Began})
@@ -129,36 +180,15 @@
 	l.paced = func(took time.Duration) {
 		x.tell(j, dispatcher.Progress{Step: dispatcher.Paced, Output: paceEvents * j.service.Engine.Stride, Took: took})
 	}
-	told := false
-	defer func() {
-		if !told {
-			x.tell(j, dispatcher.Progress{Step: dispatcher.Failed})
-		}
-	}()
-	settled, err := l.run(ctx, p.Engine, s)
-	var failed *SendError
-	if errors.As(err, &failed) && failed.Outcome == NotRun && src != nil {
-		x.tell(j, dispatcher.Progress{Step: dispatcher.Lost, Engine: src.engine.ID})
-		if ctx.Err() == nil && x.mayResend(j.service.Name) {
-			j.trace.step("KV cache of %s not to be had", src.engine.ID)
-			settled, err = l.run(ctx, p.Engine, Send{Hold: s.Hold})
-		}
-	}
-	if errors.As(err, &failed) && failed.Outcome != Unknown {
-		x.release(j, src, p)
-		if failed.Outcome == NotRun {
-			x.tell(j, dispatcher.Progress{Step: dispatcher.Refused, Engine: p.Engine.ID})
-		}
-	}
-	if failed != nil && failed.Outcome != NotRun && ctx.Err() == nil {
-		x.tell(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: p.Engine.ID})
-	}
-	if settled && l.count > before {
-		told = true
-		output := (l.count - before) * j.service.Engine.Stride
-		x.tell(j, dispatcher.Progress{Step: dispatcher.Ended, Output: output})
+}
+
+// tellEnd tells the home that a place is free.
+func (x *Router) tellEnd(l *relay, settled bool, events int) {
+	if settled && events > 0 {
+		x.tell(l.j, dispatcher.Progress{Step: dispatcher.Ended, Output: events * l.j.service.Engine.Stride})
+		return
 	}
-	return settled, err
+	x.tell(l.j, dispatcher.Progress{Step: dispatcher.Failed})
 }
 
 // tell tells the home of the job's service how far the job is.
@@ -196,36 +226,63 @@
 	}
 }
 
-// prefill has the prompt read at a prefill engine. Without a source the decode engine reads the prompt itself.
-func (x *Router) prefill(ctx context.Context, j *job, p dispatcher.Place) *source {
-	e := p.Reader
-	if e == nil {
+// readPrompt has the prompt read at the place's reading engine, or at another one if that fails and the budget allows.
+// Without a reading engine there is no source, and the decode engine reads the prompt itself. It is not asked to do so
+// after a failure: that would hold up every generation there.
+func (x *Router) readPrompt(ctx context.Context, j *job, p dispatcher.Place, tried map[string]bool) (*source, error) {
+	if p.Reader == nil {
 		j.trace.step("no prefill engine")
-		return nil
+		return nil, nil
 	}
-	if j.reads++; j.reads > 1 && !x.mayResend(j.service.Name) {
-		j.trace.step("no budget to read the prompt again")
-		return nil
+	if j.reads > 0 && !x.mayResend(j.service.Name) {
+		return nil, &SendError{Endpoint: p.Engine.ID, Outcome: NotSent, Reason: "no budget to have the prompt read again"}
 	}
+	for e := p.Reader; ; {
+		tried[e.ID] = true
+		src, err := x.readAt(ctx, j, p, e)
+		if err == nil {
+			return src, nil
+		}
+		j.trace.step("prefill failed at %s: %s", e.ID, err)
+		x.notRead(j, e, err)
+		e = x.otherReader(j, tried)
+		if e == nil || ctx.Err() != nil || !x.mayResend(j.service.Name) {
+			return nil, &SendError{Endpoint: p.Engine.ID, Outcome: NotSent, Reason: "the prompt was not read: " + err.Error()}
+		}
+	}
+}
+
+// otherReader returns a reading engine that was not tried yet, nil if there is none.
+func (x *Router) otherReader(j *job, tried map[string]bool) *enlister.Endpoint {
+	var readers []*enlister.Endpoint
+	for _, e := range x.Endpoints.Service(j.service.Name) {
+		if e.Stage == enroller.Prefill && !e.IsEjected(x.Clock.Now()) {
+			readers = append(readers, e)
+		}
+	}
+	return x.pick(readers, tried)
+}
+
+// readAt has the prompt read at one engine.
+func (x *Router) readAt(ctx context.Context, j *job, p dispatcher.Place, e *enlister.Endpoint) (*source, error) {
+	j.reads++
 	ctx, cancel := context.WithDeadline(ctx, p.Until.Add(-holdReserve))
 	defer cancel()
 	begun := x.Clock.Now()
 	resp, body, err := x.exchange(ctx, j, e, Send{Prefill: true})
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = &SendError{Endpoint: e.ID, Outcome: Unknown, Reason: resp.Status}
-	}
 	if err != nil {
-		j.trace.step("prefill failed at %s: %s", e.ID, err)
-		x.notRead(j, e, err)
-		return nil
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, &SendError{Endpoint: e.ID, Outcome: Unknown, Reason: resp.Status}
 	}
 	x.tell(j, dispatcher.Progress{Step: dispatcher.Read})
 	handle, err := x.Dialect.Handle(body)
 	if err != nil {
 		e.Judge(func(h *ejector.Health) { h.Failed(x.Clock.Now()) })
 		x.logSend(j, e, "unknown", err.Error())
-		return nil
+		return nil, err
 	}
 	j.trace.step("prefill at %s in %d ms", e.ID, x.Clock.Now().Sub(begun).Milliseconds())
-	return &source{engine: e, handle: handle}
+	return &source{engine: e, handle: handle}, nil
 }
