--- a/parts/coordination/ejector/ejector.go
+++ b/parts/coordination/ejector/ejector.go
@@ -85,17 +85,3 @@
 
 // Latency returns the moving average of answers' times, 0 if there was none.
 func (h *Health) Latency() time.Duration { return h.latency }
-
-// Usable leaves out ejected candidates, unless that would leave less than half of them.
-func Usable[C any](now time.Time, candidates []C, health func(C) *Health) []C {
-	usable := make([]C, 0, len(candidates))
-	for _, c := range candidates {
-		if !health(c).IsEjected(now) {
-			usable = append(usable, c)
-		}
-	}
-	if 2*len(usable) < len(candidates) {
-		return candidates
-	}
-	return usable
-}
--- a/parts/coordination/ejector/ejector_test.go
+++ b/parts/coordination/ejector/ejector_test.go
@@ -50,12 +50,3 @@
 	assert.Greater(t, failing.Cost(0, time.Second), 10*good.Cost(0, time.Second))
 	assert.Greater(t, good.Cost(3, time.Second), good.Cost(0, time.Second))
 }
-
-func TestNeverMoreThanHalfOfTheEndpointsAreLeftOut(t *testing.T) {
-	health := map[string]*Health{"a": {}, "b": {}, "c": {}}
-	of := func(name string) *Health { return health[name] }
-	health["a"].Refused(epoch)
-	assert.Equal(t, []string{"b", "c"}, Usable(epoch, []string{"a", "b", "c"}, of))
-	health["b"].Refused(epoch)
-	assert.Equal(t, []string{"a", "b", "c"}, Usable(epoch, []string{"a", "b", "c"}, of))
-}
