Lay transport out by what a request meets

Cause: 30 packages side by side; a newcomer could not tell which of them a request passes. No code changed but import paths.

--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -22,8 +22,8 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 
-	"github.com/hornbeamspan/hornbeamspan/transport/listener"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/listener"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/overseer"
 )
 
 // certificate returns a certificate for the loopback address and the file that holds it.
--- a/internal/control/lab.go
+++ b/internal/control/lab.go
@@ -18,9 +18,9 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/logkeeper"
 	"github.com/hornbeamspan/hornbeamspan/lab/servicer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/listener"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/finder"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/finder"
-	"github.com/hornbeamspan/hornbeamspan/transport/listener"
 )
 
 // leavePoll is the time between two looks whether a leaving stand-in is idle.
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -9,8 +9,8 @@
 
 	"github.com/hornbeamspan/hornbeamspan/internal/settings"
 	"github.com/hornbeamspan/hornbeamspan/lab/loader"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/finder"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/finder"
 )
 
 var loadOptions = []settings.Option{
--- a/internal/control/rules.go
+++ b/internal/control/rules.go
@@ -12,7 +12,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/internal/settings"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/overseer"
 )
 
 func rulesCommand() *cobra.Command {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hornbeamspan/hornbeamspan/internal/settings"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/overseer"
 )
 
 var jsonOption = []settings.Option{{Name: "json", Default: "false", Doc: "print JSON"}}
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -11,7 +11,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/internal/settings"
 	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
-	"github.com/hornbeamspan/hornbeamspan/transport/generator"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/generator"
 )
 
 // envPrefix stands before the names of environment variables.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -16,8 +16,8 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/leaser"
 	"github.com/hornbeamspan/hornbeamspan/platform"
 	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/router"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/router"
 )
 
 // memoryShare is the part of the memory limit at which the garbage collector works harder.
--- a/lab/demonstrator/demonstrator.go
+++ b/lab/demonstrator/demonstrator.go
@@ -18,7 +18,7 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 	"github.com/hornbeamspan/hornbeamspan/lab/loader"
 	"github.com/hornbeamspan/hornbeamspan/lab/servicer"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/overseer"
 )
 
 const (
--- a/lab/hostlister/hostlister.go
+++ b/lab/hostlister/hostlister.go
@@ -13,7 +13,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 
-	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/finder"
 )
 
 type change struct {
--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -18,7 +18,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/overseer"
 )
 
 const (
--- a/lab/loader/loader.go
+++ b/lab/loader/loader.go
@@ -14,7 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/hornbeamspan/hornbeamspan/lab/inferrer"
-	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/finder"
 )
 
 const (
--- a/lab/logkeeper/logkeeper.go
+++ b/lab/logkeeper/logkeeper.go
@@ -15,7 +15,7 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
-	"github.com/hornbeamspan/hornbeamspan/transport/logger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/logger"
 )
 
 const (
--- a/lab/measurer/measurer.go
+++ b/lab/measurer/measurer.go
@@ -18,7 +18,7 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/demonstrator"
 	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 	"github.com/hornbeamspan/hornbeamspan/lab/loader"
-	"github.com/hornbeamspan/hornbeamspan/transport/finder"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/finder"
 )
 
 // crashWord makes a prompt end the engines that run it.
--- a/transport/assembler/joining_test.go
+++ b/transport/assembler/joining_test.go
@@ -19,8 +19,8 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 	"github.com/hornbeamspan/hornbeamspan/lab/logkeeper"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
-	"github.com/hornbeamspan/hornbeamspan/transport/listener"
-	"github.com/hornbeamspan/hornbeamspan/transport/overseer"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/listener"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/overseer"
 )
 
 // starts is the number of systems that are started, each with another order and other seeds.
--- a/transport/executor/executor.go
+++ b/transport/callers/executor/executor.go
@@ -18,11 +18,11 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
 	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/forwarder"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/forwarder"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
-	"github.com/hornbeamspan/hornbeamspan/transport/registrar"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/registrar"
 )
 
 const (
--- a/transport/executor/home.go
+++ b/transport/callers/executor/home.go
@@ -9,8 +9,8 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/claimer"
 	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
-	"github.com/hornbeamspan/hornbeamspan/transport/registrar"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/registrar"
 )
 
 // The kinds of messages to the home of a key.
--- a/transport/overseer/overseer.go
+++ b/transport/callers/overseer/overseer.go
@@ -19,13 +19,13 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/publisher"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/auditor"
-	"github.com/hornbeamspan/hornbeamspan/transport/enforcer"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
-	"github.com/hornbeamspan/hornbeamspan/transport/registrar"
-	"github.com/hornbeamspan/hornbeamspan/transport/responder"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/responder"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/auditor"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/enforcer"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/registrar"
 )
 
 const (
--- a/transport/responder/complete.go
+++ b/transport/callers/responder/complete.go
@@ -14,9 +14,9 @@
 	"github.com/zeromicro/go-zero/rest/httpx"
 
 	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
-	"github.com/hornbeamspan/hornbeamspan/transport/executor"
-	"github.com/hornbeamspan/hornbeamspan/transport/generator"
-	"github.com/hornbeamspan/hornbeamspan/transport/supervisor"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/executor"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/supervisor"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/generator"
 )
 
 const (
--- a/transport/responder/errors.go
+++ b/transport/callers/responder/errors.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/hornbeamspan/hornbeamspan/transport/executor"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/executor"
 )
 
 // RequestIDHeader names a request. A request sent again with the same ID supersedes the older one.
--- a/transport/responder/responder.go
+++ b/transport/callers/responder/responder.go
@@ -22,12 +22,12 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/parts/state/sharder"
-	"github.com/hornbeamspan/hornbeamspan/transport/enforcer"
-	"github.com/hornbeamspan/hornbeamspan/transport/executor"
-	"github.com/hornbeamspan/hornbeamspan/transport/forwarder"
-	"github.com/hornbeamspan/hornbeamspan/transport/generator"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/supervisor"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/executor"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/supervisor"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/forwarder"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/generator"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/enforcer"
 )
 
 const (
--- a/transport/responder/service.go
+++ b/transport/callers/responder/service.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
-	"github.com/hornbeamspan/hornbeamspan/transport/executor"
-	"github.com/hornbeamspan/hornbeamspan/transport/forwarder"
+	"github.com/hornbeamspan/hornbeamspan/transport/callers/executor"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/forwarder"
 )
 
 const (
--- a/transport/router/call.go
+++ b/transport/callers/router/call.go
@@ -9,7 +9,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 )
 
 const (
--- a/transport/router/dialect.go
+++ b/transport/callers/router/dialect.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/dispatcher"
 )
 
 // Prompt is what a request says of the work for a model engine.
--- a/transport/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -8,8 +8,8 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
-	"github.com/hornbeamspan/hornbeamspan/transport/dispatcher"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/dispatcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
--- a/transport/router/router.go
+++ b/transport/callers/router/router.go
@@ -21,9 +21,9 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
 )
 
 const (
--- a/transport/router/send.go
+++ b/transport/callers/router/send.go
@@ -13,7 +13,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
--- a/transport/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 )
 
 // readSize is the size of the buffer for events in bytes; most events are smaller.
--- a/transport/supervisor/supervisor.go
+++ b/transport/callers/supervisor/supervisor.go
@@ -12,8 +12,8 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/state/sharder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 const (
--- a/transport/conductor/conductor.go
+++ b/transport/endpoints/conductor/conductor.go
@@ -15,9 +15,9 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/leaser"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
 
 // Store is a log with conditional appends.
--- a/transport/dispatcher/announce.go
+++ b/transport/endpoints/dispatcher/announce.go
@@ -8,7 +8,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 // announcePeriod is the time between two looks whether a home has moved, while generations are under way.
--- a/transport/dispatcher/balance.go
+++ b/transport/endpoints/dispatcher/balance.go
@@ -7,8 +7,8 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/stager"
-	"github.com/hornbeamspan/hornbeamspan/transport/conductor"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/conductor"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
--- a/transport/dispatcher/choose.go
+++ b/transport/endpoints/dispatcher/choose.go
@@ -10,7 +10,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/estimator"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
--- a/transport/dispatcher/desk.go
+++ b/transport/endpoints/dispatcher/desk.go
@@ -11,7 +11,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/stager"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
--- a/transport/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -21,9 +21,9 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 const (
--- a/transport/dispatcher/watch.go
+++ b/transport/endpoints/dispatcher/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
-	"github.com/hornbeamspan/hornbeamspan/transport/enlister"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 )
 
 const (
--- a/transport/enlister/enlister.go
+++ b/transport/endpoints/enlister/enlister.go
@@ -12,7 +12,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
 
 // Endpoint is one incarnation of an endpoint.
--- a/transport/forwarder/forwarder.go
+++ b/transport/endpoints/forwarder/forwarder.go
@@ -16,7 +16,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/limiter"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/parser"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 )
 
 const (
--- a/transport/generator/engines.go
+++ b/transport/endpoints/generator/engines.go
@@ -15,7 +15,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 )
 
 const (
--- a/transport/generator/flow.go
+++ b/transport/endpoints/generator/flow.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/reserver"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/reserver"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
 )
 
 const (
--- a/transport/generator/generator.go
+++ b/transport/endpoints/generator/generator.go
@@ -20,12 +20,12 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/state/sharder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/isolator"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
-	"github.com/hornbeamspan/hornbeamspan/transport/releaser"
-	"github.com/hornbeamspan/hornbeamspan/transport/reserver"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/releaser"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/reserver"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 const (
--- a/transport/generator/route.go
+++ b/transport/endpoints/generator/route.go
@@ -13,8 +13,8 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/admitter"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
-	"github.com/hornbeamspan/hornbeamspan/transport/reserver"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/reserver"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 )
 
 // route is the pair of engines of one attempt and what is booked there.
--- a/transport/reaper/reaper.go
+++ b/transport/endpoints/reaper/reaper.go
@@ -17,10 +17,10 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/releaser"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/releaser"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
 )
 
 const (
--- a/transport/releaser/releaser.go
+++ b/transport/endpoints/releaser/releaser.go
@@ -14,8 +14,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
 )
 
 const (
--- a/transport/reserver/place.go
+++ b/transport/endpoints/reserver/place.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 // Place is a place in the queue of a prefill engine.
--- a/transport/reserver/reserver.go
+++ b/transport/endpoints/reserver/reserver.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/booker"
-	"github.com/hornbeamspan/hornbeamspan/transport/gossiper"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
-	"github.com/hornbeamspan/hornbeamspan/transport/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 const (
--- a/transport/reserver/slot.go
+++ b/transport/endpoints/reserver/slot.go
@@ -8,7 +8,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/booker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 var errNoReport = errors.New("reserver: no report of the engine yet")
--- a/transport/watcher/watcher.go
+++ b/transport/endpoints/watcher/watcher.go
@@ -22,8 +22,8 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/state/sharder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/completer"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/finder"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/finder"
 )
 
 const (
--- a/transport/gossiper/gossiper.go
+++ b/transport/hosts/gossiper/gossiper.go
@@ -18,7 +18,7 @@
 	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 // The kinds of messages.
--- a/transport/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -13,7 +13,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 const (
--- a/transport/configurer/configurer.go
+++ b/transport/store/configurer/configurer.go
@@ -9,7 +9,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/publisher"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
 
 // The sources of a configuration.
--- a/transport/enforcer/enforcer.go
+++ b/transport/store/enforcer/enforcer.go
@@ -15,8 +15,8 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/publisher"
 	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/follower"
-	"github.com/hornbeamspan/hornbeamspan/transport/logger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/follower"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/logger"
 )
 
 // Stream is the name of the rules stream.
--- a/transport/follower/follower.go
+++ b/transport/store/follower/follower.go
@@ -11,7 +11,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/replayer"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/logger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/logger"
 )
 
 const (
--- a/transport/introducer/introducer.go
+++ b/transport/store/introducer/introducer.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/tailer"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
 
 const (
--- a/transport/registrar/book.go
+++ b/transport/store/registrar/book.go
@@ -8,7 +8,7 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/claimer"
 	"github.com/hornbeamspan/hornbeamspan/protocol/encoder"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
-	"github.com/hornbeamspan/hornbeamspan/transport/follower"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/follower"
 )
 
 const (
--- a/transport/registrar/registrar.go
+++ b/transport/store/registrar/registrar.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/claimer"
-	"github.com/hornbeamspan/hornbeamspan/transport/logger"
+	"github.com/hornbeamspan/hornbeamspan/transport/store/logger"
 )
 
 // Answer is the answer of a call that ran. Body may have been too large to keep.
