--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -56,12 +56,8 @@
 		if settled {
 			return
 		}
-		errors.As(err, &failed)
-		if failed.Outcome == NotSent {
-			continue
-		}
-		j.sends++
-		if !l.mayGoOn(ctx, failed) {
+		var again bool
+		if failed, again = l.goesOn(ctx, err); !again {
 			break
 		}
 	}
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -210,15 +210,23 @@
 	l.router.finish(l.w, l.j, ending{status: http.StatusServiceUnavailable, reason: failed.Reason, wait: retryPause})
 }
 
-// mayGoOn tells whether a stream may be sent to another endpoint after failed.
-func (l *relay) mayGoOn(ctx context.Context, failed *SendError) bool {
+// goesOn tells whether a stream that err kept from its end may be tried once more: without a send that reached an endpoint
+// it may, else within the attempts and the budget, and after a run only if the stream may be resumed.
+func (l *relay) goesOn(ctx context.Context, err error) (failed *SendError, again bool) {
+	if !errors.As(err, &failed) {
+		failed = &SendError{Outcome: Unknown, Reason: err.Error()}
+	}
+	if failed.Outcome == NotSent {
+		return failed, ctx.Err() == nil
+	}
+	l.j.sends++
 	if ctx.Err() != nil || l.j.sends >= l.j.route.MaxAttempts {
-		return false
+		return failed, false
 	}
 	if failed.Outcome == Unknown && !l.j.route.Resumable {
-		return false
+		return failed, false
 	}
-	return l.router.mayResend(l.j.service.Name)
+	return failed, l.router.mayResend(l.j.service.Name)
 }
 
 // stream serves a stream of a service without stages.
@@ -237,12 +245,8 @@
 		if settled {
 			return
 		}
-		errors.As(err, &failed)
-		if failed.Outcome == NotSent {
-			continue
-		}
-		j.sends++
-		if !l.mayGoOn(ctx, failed) {
+		var again bool
+		if failed, again = l.goesOn(ctx, err); !again {
 			break
 		}
 	}
--- a/transport/endpoints/dispatcher/choose.go
+++ b/transport/endpoints/dispatcher/choose.go
@@ -8,7 +8,6 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/estimator"
-	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
@@ -51,7 +50,7 @@
 	if e == nil {
 		return false
 	}
-	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
+	job := t.ask.job()
 	begins := now
 	if r != nil {
 		begins = now.Add(k.readers.Backlog(now, r.ID) + k.readers.Time(r.ID, t.ask.Prompt))
@@ -98,7 +97,7 @@
 // pickEngine returns the decode engine that the request fills least, nil if none has room. An engine whose events come
 // too slowly for an answer in time is left to requests that are late, and to times when all are slow. The caller holds mu.
 func (k *desk) pickEngine(now time.Time, t *ticket, stride int, isUsable func(*enlister.Endpoint) bool) *enlister.Endpoint {
-	job := packer.Job{ID: t.ask.ID, Prompt: t.ask.Prompt, Hint: t.ask.Hint, MaxOutput: t.ask.MaxOutput}
+	job := t.ask.job()
 	random := k.dispatcher.random()
 	var best, slow *enlister.Endpoint
 	var lowest, lowestSlow float64
--- a/transport/endpoints/dispatcher/desk.go
+++ b/transport/endpoints/dispatcher/desk.go
@@ -111,7 +111,7 @@
 		}
 		k.tickets[a.ID] = t
 		k.sizes.admit(a)
-		k.packer.Asked(packer.Job{Hint: a.Hint, MaxOutput: a.MaxOutput})
+		k.packer.Asked(a.job())
 	}
 	t.polled = now
 	if !k.watching {
@@ -243,7 +243,7 @@
 	missed := false
 	for i, t := range waiting {
 		if missed && t.IsLate(now) {
-			k.refuseHopeless(now, waiting[i:], i)
+			k.refuseUnservable(now, waiting[i:], i)
 			break
 		}
 		if !k.place(now, t) {
@@ -271,8 +271,8 @@
 	return list
 }
 
-// refuseHopeless refuses at once whoever will not get a place in time at the present rate. The caller holds mu.
-func (k *desk) refuseHopeless(now time.Time, waiting []*ticket, ahead int) {
+// refuseUnservable refuses at once whoever will not get a place in time at the present rate. The caller holds mu.
+func (k *desk) refuseUnservable(now time.Time, waiting []*ticket, ahead int) {
 	rate := k.rate(now)
 	if rate <= 0 {
 		return
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -104,6 +104,11 @@
 	Latest time.Time
 }
 
+// job returns what the packing of engines needs to know.
+func (a Ask) job() packer.Job {
+	return packer.Job{ID: a.ID, Prompt: a.Prompt, Hint: a.Hint, MaxOutput: a.MaxOutput}
+}
+
 // Place is a place at a decode engine. Reader is the engine that is to read the prompt; nil has the engine read it.
 type Place struct {
 	Engine *enlister.Endpoint
