Have one host stand in for a home that is silent

Each of twelve hosts then placed alone; together they gave the one reading engine 1.8 s of prompts, whose sends timed out and had it ejected, and 155 generations were refused. Change: hosts that find the home silent ask the next one by the same hash, so that they meet there. Ruled out: shorter patience with the home (0.5 s now), since slow hosts answer in that time.

--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -155,7 +155,8 @@
 
 // Hosts are the hosts that a home is chosen from.
 type Hosts interface {
-	SteadyHome(key string) (tracker.Member, bool)
+	// SteadyHome returns the home of a key among the hosts that are not silent, and whether it is the own one.
+	SteadyHome(key string, isSilent func(name string) bool) (tracker.Member, bool)
 	Serving() []tracker.Member
 	// HasMajority tells whether this host is in touch with most of the others. A host that is not may not be the only
 	// one that takes itself for a home.
@@ -237,7 +238,7 @@
 
 // home returns the host to ask for places, and whether it is the own one.
 func (d *Dispatcher) home(service string) (home tracker.Member, own bool) {
-	home, own = d.Hosts.SteadyHome(homeKey(service))
+	home, own = d.Hosts.SteadyHome(homeKey(service), d.isSilent)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r, ok := d.redirected[service]; ok && d.Clock.Now().Before(r.until) {
@@ -246,6 +247,15 @@
 	return home, own
 }
 
+// isNeverSilent stands for hosts of which nothing is known.
+func isNeverSilent(string) bool { return false }
+
+// isStandIn tells whether home stands in for one that is silent.
+func (d *Dispatcher) isStandIn(service string, home tracker.Member) bool {
+	first, _ := d.Hosts.SteadyHome(homeKey(service), isNeverSilent)
+	return first.Name != home.Name
+}
+
 func (d *Dispatcher) isRedirected(service string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -268,7 +278,7 @@
 
 // isHome tells whether this host places the generations of a service for all.
 func (d *Dispatcher) isHome(service string) bool {
-	_, own := d.Hosts.SteadyHome(homeKey(service))
+	_, own := d.Hosts.SteadyHome(homeKey(service), isNeverSilent)
 	return own && d.Hosts.HasMajority()
 }
 
@@ -352,26 +362,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollWait+answerSlack)
 	defer cancel()
-	answer, err := messenger.Call[wire.PlaceAsk, wire.PlaceAnswer](ctx, d.Messenger, home.Address, kindPlace, d.encode(a))
+	answer, err := messenger.Call[wire.PlaceAsk, wire.PlaceAnswer](ctx, d.Messenger, home.Address, kindPlace, d.encode(a, home))
 	if err != nil && ctx.Err() != context.Canceled {
 		d.setSilent(home.Name, err)
 	}
 	return answer, err
 }
 
-func (d *Dispatcher) encode(a Ask) wire.PlaceAsk {
+func (d *Dispatcher) encode(a Ask, home tracker.Member) wire.PlaceAsk {
 	now := d.Clock.Now()
 	left := func(t time.Time) int { return int(t.Sub(now).Milliseconds()) }
 	return wire.PlaceAsk{
 		Service: a.Service, ID: a.ID, Zone: d.DataCentre, Prompt: a.Prompt, Hint: a.Hint, Max: a.MaxOutput, Rank: a.Priority,
 		Pause: int(a.MaxPause.Milliseconds()),
 		Age:   -left(a.Arrived), Ontime: left(a.OnTime), Latest: left(a.Latest),
-		Sent: d.isRedirected(a.Service),
+		Sent: d.isRedirected(a.Service) || d.isStandIn(a.Service, home),
 	}
 }
 
 func (d *Dispatcher) answerPlace(ctx context.Context, w wire.PlaceAsk) (wire.PlaceAnswer, error) {
-	if home, own := d.Hosts.SteadyHome(homeKey(w.Service)); !own && !w.Sent {
+	if home, own := d.Hosts.SteadyHome(homeKey(w.Service), d.isSilent); !own && !w.Sent {
 		return wire.PlaceAnswer{State: stateMoved, Home: home.Name}, nil
 	}
 	now := d.Clock.Now()
--- a/transport/hosts/gossiper/steady.go
+++ b/transport/hosts/gossiper/steady.go
@@ -66,12 +66,19 @@
 }
 
 // SteadyHome returns the host among those running longest that serves key for all, and whether it is the own one. A
-// home with much to learn moves less often so. Hosts that are cut off from the platform's log are passed over.
-func (g *Gossiper) SteadyHome(key string) (tracker.Member, bool) {
+// home with much to learn moves less often so. Hosts that are cut off from the platform's log are passed over, and those
+// for which isSilent holds: whoever finds a home silent comes to the same next one.
+func (g *Gossiper) SteadyHome(key string, isSilent func(name string) bool) (tracker.Member, bool) {
 	steady := g.serving.Load().steady
-	if len(steady) == 0 {
+	var names []string
+	for name := range steady {
+		if !isSilent(name) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
 		return g.Self(), true
 	}
-	home := steady[ranker.Home(key, slices.Collect(maps.Keys(steady)))]
+	home := steady[ranker.Home(key, names)]
 	return home, home.Name == g.options.Self.Name
 }
