--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -124,7 +124,7 @@
 		Engines:        platform.NewEngines(),
 		ReadyRoute:     platform.ReadyRoute,
 		DirectoryRoute: platform.DirectoryRoute,
-		Grace:          s.Grace, ApplyTime: s.ApplyTime, ContactTime: s.ContactTime,
+		Grace:          s.Grace, AddressLifetime: s.AddressLifetime, ApplyTime: s.ApplyTime, ContactTime: s.ContactTime,
 		Lease: leaser.Config{Lease: s.Lease, Margin: s.Thaw},
 		Retry: retryBudget(s),
 	}
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -79,6 +79,8 @@
 
 	// Grace is the time from a stop to the end of the process.
 	Grace time.Duration
+	// AddressLifetime is the longest time that callers may be told to keep addresses.
+	AddressLifetime time.Duration
 	// ApplyTime is how soon a configuration or a leaving endpoint must be followed.
 	ApplyTime time.Duration
 	// ContactTime is how long a silent host may contradict before it is held for dead.
@@ -154,10 +156,10 @@
 		IsBlind:   func() bool { return h.endpoints.LostFor() > blindAfter },
 		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation), Logs: logs,
 	})
-	isolating := isolator.New(isolator.Options{
+	isolate := isolator.New(isolator.Options{
 		Deaths: endpointsLost, Keep: suspicionAge, Hosts: h.gossiper, Messenger: h.messenger, Clock: clock, Logs: logs,
 	})
-	h.endpoints.OnGone(isolating.Gone)
+	h.endpoints.OnGone(isolate.Gone)
 	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
 		Orders: conductor.New(conductor.Options{
@@ -167,7 +169,7 @@
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	h.router = router.New(router.Options{
-		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places, Isolator: isolating,
+		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places, Isolator: isolate,
 		Hosts: h.sharers, Retry: cfg.Retry,
 		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
@@ -242,7 +244,7 @@
 }
 
 func (h *RoutingHost) lifetime() time.Duration {
-	return time.Duration(lifetimeShare * float64(h.cfg.Grace))
+	return min(time.Duration(lifetimeShare*float64(h.cfg.Grace)), h.cfg.AddressLifetime)
 }
 
 // IsReady tells whether new callers are welcome.
