Drop endpoints at once that go after an outage of the store

The host took the entry for one that lapsed in the outage, kept it, and looked at lapsed entries only when it read the store: 4 ms beyond the bound. Change: only entries that the first reading after an outage finds gone are kept; what goes later has left. Lapsed entries are looked at every 200 ms.

--- a/parts/coordination/enroller/enroller.go
+++ b/parts/coordination/enroller/enroller.go
@@ -1,8 +1,8 @@
 // Package enroller keeps the list of endpoints that announce themselves in a store.
 //
 // Entries may be stale, repeated, forged or lapse while the store is out of reach. An entry of an older incarnation, or
-// an older entry of the same one, changes nothing. An entry that lapsed around an outage is kept for Grace after the
-// store's return, because a live endpoint announces itself again by then.
+// an older entry of the same one, changes nothing. An entry that lapsed while the store was out of reach is kept for Grace
+// after its return, because a live endpoint announces itself again by then. What goes after the return has left.
 package enroller
 
 import (
@@ -82,14 +82,14 @@
 	return true
 }
 
-// Remove takes an entry out at offset. Around an outage of the store the entry is kept for Grace.
+// Remove takes an entry out at offset. One that went in an outage, as the first reading after it tells, is kept for Grace.
 func (e *Enroller) Remove(now time.Time, id string, offset uint64) {
 	old := e.entries[id]
 	if old == nil || offset < old.offset {
 		return
 	}
 	old.offset = offset
-	if e.out || now.Sub(e.back) < Grace {
+	if e.out {
 		if old.lapsed.IsZero() {
 			old.lapsed = now
 		}
@@ -132,7 +132,7 @@
 
 // Expire drops the entries that lapsed around an outage and did not come back.
 func (e *Enroller) Expire(now time.Time) []string {
-	if e.out || now.Sub(e.back) < Grace {
+	if e.out {
 		return nil
 	}
 	var dropped []string
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -282,7 +282,7 @@
 		Topic: h.cfg.Topics.Hosts, Host: h.cfg.Name, Address: h.cfg.Peers, Store: h.cfg.Store, Hosts: h.gossiper,
 		Clock: h.clock, Logs: h.logs,
 	})
-	for _, part := range []func(context.Context){config.Run, endpoints.Run, h.gossiper.Run, introducing.Run} {
+	for _, part := range []func(context.Context){config.Run, endpoints.Run, h.endpoints.Run, h.gossiper.Run, introducing.Run} {
 		h.wait.Go(func() { part(ctx) })
 	}
 }
--- a/transport/endpoints/enlister/enlister.go
+++ b/transport/endpoints/enlister/enlister.go
@@ -2,6 +2,7 @@
 package enlister
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +134,32 @@
 	return e.clock.Now().Sub(time.Unix(0, at))
 }
 
+// expiryPeriod is how often lapsed entries are looked at. Readings of the store are further apart than what is left of the
+// bound on leaving endpoints.
+const expiryPeriod = 200 * time.Millisecond
+
+// Run drops the entries that lapsed in an outage and did not come back, until ctx ends.
+func (e *Enlister) Run(ctx context.Context) {
+	ticker := e.clock.NewTicker(expiryPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			e.expire()
+		}
+	}
+}
+
+func (e *Enlister) expire() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.list.Expire(e.clock.Now())) > 0 {
+		e.rebuild(0)
+	}
+}
+
 // Lost notes that the store is out of reach.
 func (e *Enlister) Lost(error) {
 	e.lostAt.CompareAndSwap(0, e.clock.Now().UnixNano())
@@ -146,11 +173,7 @@
 	e.lostAt.Store(0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.clock.Now()
-	e.list.Regained(now)
-	if len(e.list.Expire(now)) > 0 {
-		e.rebuild(0)
-	}
+	e.list.Regained(e.clock.Now())
 }
 
 // rebuild publishes the list anew and logs what changed. The caller holds mu.
