--- a/parts/coordination/enroller/enroller.go
+++ b/parts/coordination/enroller/enroller.go
@@ -130,9 +130,9 @@
 	}
 }
 
-// Expire drops the entries that lapsed around an outage and did not come back.
+// Expire drops the entries that lapsed in an outage and did not come back.
 func (e *Enroller) Expire(now time.Time) []string {
-	if e.out {
+	if e.out || now.Sub(e.back) < Grace {
 		return nil
 	}
 	var dropped []string
