--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -5,13 +5,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 	"github.com/hornbeamspan/hornbeamspan/lab/platformer"
 	"github.com/hornbeamspan/hornbeamspan/platform"
 	"github.com/hornbeamspan/hornbeamspan/transport/assembler"
@@ -118,22 +117,11 @@
 	return r
 }
 
-// firstPort is below the ports that the system gives to connections and to servers that ask for any.
-const firstPort = 21000
-
-var ports atomic.Uint32
-
-// free returns a loopback address with a port that is free and that nobody else is given.
+// free returns a loopback address with a port of its own.
 func (r *rig) free() netip.AddrPort {
-	for {
-		at := fmt.Sprintf("127.0.0.1:%d", firstPort+ports.Add(1))
-		l, err := net.Listen("tcp", at)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return netip.MustParseAddrPort(at)
-	}
+	address, err := launcher.FreePort()
+	require.NoError(r.t, err)
+	return address
 }
 
 // addHost writes a settings file as the platform does, and starts a host by it.
--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -126,7 +126,7 @@
 
 // stand starts a stand-in on a free port.
 func (s *System) stand(ctx context.Context, name, kind string, args []string) (*Process, error) {
-	address, err := freePort()
+	address, err := FreePort()
 	if err != nil {
 		return nil, err
 	}
@@ -154,7 +154,7 @@
 func (s *System) AddHost(ctx context.Context, name string, args []string) (*Process, error) {
 	p := &Process{Name: name, bin: filepath.Join(s.spec.Bin, "hornbeamspan"), dir: s.spec.Dir}
 	for _, a := range []*netip.AddrPort{&p.Address, &p.Operators, &p.Peers} {
-		address, err := freePort()
+		address, err := FreePort()
 		if err != nil {
 			return nil, err
 		}
--- a/lab/launcher/port.go
+++ b/lab/launcher/port.go
@@ -23,7 +23,8 @@
 	next int
 }{next: firstPort + os.Getpid()*portsPerProcess%(lastPort-firstPort)}
 
-func freePort() (netip.AddrPort, error) {
+// FreePort returns a loopback address with a port that is free and that this process gives to nobody else.
+func FreePort() (netip.AddrPort, error) {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
 	for range lastPort - firstPort {
