List keyed topics, and ask whether an engine is out, in one place

Found on reading the change once more: the paging through the newest records stood three times (tailer, conductor, introducer) and is tailer.List now; the check that an engine takes nothing stood twice; whether any engine reads was asked anew for each decode engine. A counter that nothing read since the home packs engines is gone.

--- a/transport/endpoints/conductor/conductor.go
+++ b/transport/endpoints/conductor/conductor.go
@@ -144,27 +144,17 @@
 
 // look reads the newest holder of every engine and returns the end of the topic.
 func (c *Conductor) look(ctx context.Context) (uint64, error) {
-	after, end, first := "", uint64(0), true
-	for {
-		page, err := c.options.Store.Newest(ctx, c.options.Topic, after)
-		if err != nil {
-			return 0, errorx.Decorate(err, "conductor: unable to read the duties")
-		}
-		if first {
-			end, first = page.End, false
-		}
-		for _, r := range page.Records {
-			var d duty
-			if err := json.Unmarshal(r.Value, &d); err != nil {
-				eventer.Warn(c.options.Logs, eventer.RecordDamaged, "stream", c.options.Topic, "offset", r.Offset, "error", err.Error())
-			}
-			c.watch.Seen(c.options.Clock.Now(), r.Key, leaser.Record{Holder: d.Holder, Offset: r.Offset})
-			after = r.Key
-		}
-		if !page.More || len(page.Records) == 0 {
-			return end, nil
+	end, err := tailer.List(ctx, c.options.Store, c.options.Topic, func(r tailer.Record) {
+		var d duty
+		if err := json.Unmarshal(r.Value, &d); err != nil {
+			eventer.Warn(c.options.Logs, eventer.RecordDamaged, "stream", c.options.Topic, "offset", r.Offset, "error", err.Error())
 		}
+		c.watch.Seen(c.options.Clock.Now(), r.Key, leaser.Record{Holder: d.Holder, Offset: r.Offset})
+	})
+	if err != nil {
+		return 0, errorx.Decorate(err, "conductor: unable to read the duties")
 	}
+	return end, nil
 }
 
 // UnknownError reports an order without an answer: it may be carried out, even later.
--- a/transport/endpoints/dispatcher/choose.go
+++ b/transport/endpoints/dispatcher/choose.go
@@ -44,6 +44,9 @@
 		return false
 	}
 	r := k.pickReader(now, e, t.ask.Prompt)
+	if r == nil && k.hasReaders(now) {
+		return false
+	}
 	if r == nil {
 		e = k.pickEngine(now, t, stride, func(e *enlister.Endpoint) bool { return k.mayRead(now, t, e, stride) })
 	}
@@ -94,6 +97,11 @@
 	return engines.Hold(ctx, e.Address, w.tokens, w.lifetime)
 }
 
+// isOut tells whether an engine takes nothing at present. The caller holds mu.
+func (k *desk) isOut(now time.Time, e *enlister.Endpoint) bool {
+	return e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e)
+}
+
 // pickEngine returns the decode engine that the request fills least, nil if none has room. An engine whose events come
 // too slowly for an answer in time is left to requests that are late, and to times when all are slow. The caller holds mu.
 func (k *desk) pickEngine(now time.Time, t *ticket, stride int, isUsable func(*enlister.Endpoint) bool) *enlister.Endpoint {
@@ -103,8 +111,7 @@
 	var lowest, lowestSlow float64
 	usable, dragging := 0, 0
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage == enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) ||
-			!isUsable(e) {
+		if e.Stage == enroller.Prefill || k.isOut(now, e) || !isUsable(e) {
 			continue
 		}
 		usable++
@@ -139,7 +146,7 @@
 	var best *enlister.Endpoint
 	var least time.Duration
 	for _, e := range k.dispatcher.Endpoints.Service(k.service) {
-		if e.Stage != enroller.Prefill || e.IsEjected(now) || now.Before(k.full[e.ID]) || k.isChanging(now, e) {
+		if e.Stage != enroller.Prefill || k.isOut(now, e) {
 			continue
 		}
 		backlog := k.readers.Backlog(now, e.ID)
@@ -172,11 +179,11 @@
 	return false
 }
 
-// mayRead tells whether a decode engine may read a prompt itself: only while no engine reads, one at a time, and only if
-// the generations there still make their events in time. Prompts that decode engines read while others wait for a reading
+// mayRead tells whether a decode engine may read a prompt itself while no engine reads: one at a time, and only if the
+// generations there still make their events in time. Prompts that decode engines read while others wait for a reading
 // engine hold up more than they help. The caller holds mu.
 func (k *desk) mayRead(now time.Time, t *ticket, e *enlister.Endpoint, stride int) bool {
-	if now.Before(k.reading[e.ID]) || k.hasReaders(now) {
+	if now.Before(k.reading[e.ID]) {
 		return false
 	}
 	pause := k.ownTime(t.ask.Prompt) + k.packer.Pause(now, e.ID, stride)
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -2,7 +2,7 @@
 //
 // One host is the home of a service. It knows the generations that all hosts have at the service's engines, orders those
 // that wait and packs the engines' memory. What it knows is a hint: an engine itself grants each place, and a host whose
-// home is out of reach places alone, with larger reservations.
+// home is out of reach places alone, by what engines prove to have free.
 package dispatcher
 
 import (
@@ -186,7 +186,7 @@
 	desks      map[string]*desk
 	silent     map[string]time.Time
 	redirected map[string]redirect
-	// active are this host's generations under way, announced the home of each service that knows of them.
+	// active are this host's generations under way, announced the homes that were told of them, by service.
 	active     map[string]activeRun
 	announced  map[string]string
 	announcing bool
--- a/transport/endpoints/enlister/enlister.go
+++ b/transport/endpoints/enlister/enlister.go
@@ -19,8 +19,6 @@
 // Endpoint is one incarnation of an endpoint.
 type Endpoint struct {
 	enroller.Endpoint
-	// Tokens is the memory that requests of this host have asked for at a model engine.
-	Tokens   atomic.Int64
 	inflight atomic.Int64
 	mu       sync.Mutex
 	health   ejector.Health
--- a/transport/store/introducer/introducer.go
+++ b/transport/store/introducer/introducer.go
@@ -104,24 +104,16 @@
 func (i *Introducer) look(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	after := ""
 	var seeds []netip.AddrPort
-	for {
-		page, err := i.options.Store.Newest(ctx, i.options.Topic, after)
-		if err != nil {
-			eventer.Warn(i.options.Logs, eventer.NotIntroduced, "host", i.options.Host, "error", err.Error())
-			return
-		}
-		for _, r := range page.Records {
-			after = r.Key
-			var e entry
-			if json.Unmarshal(r.Value, &e) == nil && e.Address.IsValid() && r.Key != i.options.Host {
-				seeds = append(seeds, e.Address)
-			}
-		}
-		if !page.More || len(page.Records) == 0 {
-			break
+	_, err := tailer.List(ctx, i.options.Store, i.options.Topic, func(r tailer.Record) {
+		var e entry
+		if json.Unmarshal(r.Value, &e) == nil && e.Address.IsValid() && r.Key != i.options.Host {
+			seeds = append(seeds, e.Address)
 		}
+	})
+	if err != nil {
+		eventer.Warn(i.options.Logs, eventer.NotIntroduced, "host", i.options.Host, "error", err.Error())
+		return
 	}
 	eventer.Info(i.options.Logs, eventer.Introduced, "host", i.options.Host, "seeds", len(seeds))
 	i.options.Hosts.AddSeeds(seeds)
--- a/transport/store/tailer/tailer.go
+++ b/transport/store/tailer/tailer.go
@@ -132,28 +132,44 @@
 // list reads the newest record of every key, then has reading go on from the end that the first page told.
 func (t *Tailer) list(ctx context.Context) error {
 	keys := make(map[string]bool)
-	after, end, first := "", uint64(0), true
+	end, err := List(ctx, t.options.Log, t.options.Topic, func(r Record) {
+		keys[r.Key] = true
+		t.options.Sink.Record(r)
+	})
+	if err != nil {
+		return err
+	}
+	t.from = end
+	t.listed = true
+	t.options.Sink.Listed(keys, end)
+	return nil
+}
+
+// Lister is the part of a store that tells the newest records.
+type Lister interface {
+	Newest(ctx context.Context, topic, after string) (Page, error)
+}
+
+// List has take see the newest record of every key of a topic, and returns the end of the topic at the first page: what
+// was appended during the listing is to be read from there.
+func List(ctx context.Context, l Lister, topic string, take func(Record)) (end uint64, err error) {
+	after, first := "", true
 	for {
-		page, err := t.options.Log.Newest(ctx, t.options.Topic, after)
+		page, err := l.Newest(ctx, topic, after)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if first {
 			end, first = page.End, false
 		}
 		for _, r := range page.Records {
-			keys[r.Key] = true
 			after = r.Key
-			t.options.Sink.Record(r)
+			take(r)
 		}
 		if !page.More || len(page.Records) == 0 {
-			break
+			return end, nil
 		}
 	}
-	t.from = end
-	t.listed = true
-	t.options.Sink.Listed(keys, end)
-	return nil
 }
 
 func (t *Tailer) note(err error) {
