--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -166,11 +166,11 @@
 			Holder: cfg.Name, Topic: cfg.Topics.Duties, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
 			Clock: clock, Logs: logs,
 		}),
-		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs, Scope: h.meter.Scope,
+		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs,
 	})
 	h.router = router.New(router.Options{
-		Host: cfg.Name, DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places, Isolator: isolate,
-		Hosts: h.sharers, Retry: cfg.Retry,
+		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Engines: cfg.Engines, Endpoints: h.endpoints, Places: h.places,
+		Isolator: isolate, Hosts: h.sharers, Retry: cfg.Retry,
 		Clock: clock, Random: h.random("router", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	if err := h.listen(); err != nil {
--- a/transport/callers/router/router.go
+++ b/transport/callers/router/router.go
@@ -47,7 +47,6 @@
 
 // Options are the parts and settings of a Router.
 type Options struct {
-	Host       string
 	DataCentre string
 	Dialect    Dialect
 	Engines    Engines
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -15,7 +15,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
@@ -129,8 +128,7 @@
 
 // Load is a model engine's report of itself, some hundred milliseconds old.
 type Load struct {
-	Queued int
-	Runs   []packer.Observed
+	Runs []packer.Observed
 	// Orders is the number of orders that the engine has accepted.
 	Orders int64
 	Busy   bool
@@ -176,7 +174,6 @@
 	Clock    clockwork.Clock
 	Random   *rand.Rand
 	Logs     hclog.Logger
-	Scope    tally.Scope
 }
 
 // Dispatcher finds places, as home of services and by asking other homes.
--- a/transport/endpoints/enlister/enlister.go
+++ b/transport/endpoints/enlister/enlister.go
@@ -109,7 +109,7 @@
 		e.rebuild(r.Offset)
 		return
 	}
-	if e.list.Put(ep, r.Offset) {
+	if e.list.Put(ep, r.Offset) && !isSame(e.known[ep.ID], ep) {
 		e.rebuild(r.Offset)
 	}
 }
@@ -197,10 +197,15 @@
 	e.byName.Store(&byName)
 }
 
+// isSame tells whether ep says nothing new of an endpoint, as most announcements do.
+func isSame(old *Endpoint, ep enroller.Endpoint) bool {
+	return old != nil && old.Born.Equal(ep.Born) && old.Address == ep.Address && old.Service == ep.Service &&
+		old.Stage == ep.Stage && old.Leaving == ep.Leaving
+}
+
 // follow returns the endpoint for ep: the old one with its counts, unless it is another incarnation or has changed.
 func (e *Enlister) follow(old *Endpoint, ep enroller.Endpoint, offset uint64) *Endpoint {
-	if old != nil && old.Born.Equal(ep.Born) && old.Address == ep.Address && old.Service == ep.Service &&
-		old.Stage == ep.Stage && old.Leaving == ep.Leaving {
+	if isSame(old, ep) {
 		return old
 	}
 	next := &Endpoint{Endpoint: ep}
