Have the loss of a host known everywhere within the contact time at 300 hosts

In simulated time with the real tracker a loss during the start was unknown somewhere after 20 s among 100 and 300 hosts: news of it queued behind first sightings, new members waited for the next round of pings, a loss heard of before the host itself was forgotten and an older rumour believed, and with one lost message making a suspect some host always was one. Change: changes of known members before first sightings, to three more hosts twice a period until told three times; new members at a random place of the round under way; the lost are remembered; a second ping before suspicion; several looks a period; the list is rebuilt only if it changed, and the majority is counted there. Tests: loss_test.go, failing before (over 20 s), within contactMs of each size now; Benchmark Notice for the figures.

--- /dev/null
+++ b/parts/coordination/tracker/loss_test.go
@@ -0,0 +1,198 @@
+package tracker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const (
+	// simulatedStep is the granularity of simulated time.
+	simulatedStep = 100 * time.Millisecond
+	// simulatedDelay is how long a message is under way.
+	simulatedDelay = simulatedStep
+)
+
+// noticeTime returns how soon no live host may name a lost one any more: the contact time of fleets of that size.
+func noticeTime(hosts int) time.Duration {
+	if hosts <= 120 {
+		return 4 * time.Second
+	}
+	return 5 * time.Second
+}
+
+var simulatedConfig = Config{
+	Period: 500 * time.Millisecond, AnswerTimeout: 400 * time.Millisecond, SuspicionTimeout: 4 * time.Second,
+	Retention: 2 * time.Minute, Updates: 6,
+}
+
+// envelope is a message under way.
+type envelope struct {
+	send Send
+	due  time.Time
+}
+
+// fleet runs trackers that start at moments of their own, over links that delay messages and lose some.
+type fleet struct {
+	now      time.Time
+	random   *rand.Rand
+	trackers []*Tracker
+	starts   []time.Time
+	down     map[int]bool
+	loss     float64
+	under    []envelope
+	messages int
+}
+
+func newFleet(n int, loss float64, seed uint64) *fleet {
+	f := &fleet{now: epoch, random: rand.New(rand.NewPCG(seed, 7)), down: make(map[int]bool), loss: loss}
+	seeds := []netip.AddrPort{address(0), address(n / 3), address(2 * n / 3)}
+	for i := range n {
+		self := Member{Name: fmt.Sprintf("host-%04d", i), Address: address(i), Incarnation: uint64(epoch.UnixNano())}
+		f.trackers = append(f.trackers, New(simulatedConfig, self, seeds, rand.New(rand.NewPCG(seed, uint64(i)))))
+		f.starts = append(f.starts, epoch.Add(time.Duration(f.random.Int64N(int64(simulatedConfig.Period)))))
+	}
+	return f
+}
+
+func number(a netip.AddrPort) int {
+	b := a.Addr().As4()
+	return int(b[2])<<8 | int(b[3])
+}
+
+func (f *fleet) post(sends []Send) {
+	for _, s := range sends {
+		f.messages++
+		if f.random.Float64() >= f.loss {
+			f.under = append(f.under, envelope{send: s, due: f.now.Add(simulatedDelay)})
+		}
+	}
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(simulatedStep)
+	var due []Send
+	f.under = slices.DeleteFunc(f.under, func(e envelope) bool {
+		if e.due.After(f.now) {
+			return false
+		}
+		due = append(due, e.send)
+		return true
+	})
+	for _, s := range due {
+		if to := number(s.To); !f.down[to] {
+			f.post(f.trackers[to].Receive(f.now, s.Message))
+		}
+	}
+	for i, t := range f.trackers {
+		if !f.down[i] && !f.starts[i].After(f.now) {
+			f.post(t.Tick(f.now))
+		}
+	}
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+	}
+}
+
+// naming returns how many live hosts take a lost one for alive.
+func (f *fleet) naming() int {
+	n := 0
+	for i, t := range f.trackers {
+		if f.down[i] {
+			continue
+		}
+		for _, m := range t.members {
+			if m.State == Alive && f.down[number(m.Address)] {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// forget returns how long it takes until no live host takes a lost one for alive.
+func (f *fleet) forget(most time.Duration) time.Duration {
+	begun := f.now
+	for f.naming() > 0 && f.now.Sub(begun) < most {
+		f.step()
+	}
+	return f.now.Sub(begun)
+}
+
+// While hosts still tell each other of those that have started, the news of a loss must not queue behind the news of joins.
+func TestALossDuringTheStartIsKnownEverywhereInTime(t *testing.T) {
+	for _, n := range []int{30, 100, 300} {
+		for seed := range uint64(3) {
+			f := newFleet(n, 0.01, seed)
+			f.run(3 * time.Second)
+			f.down[n-2] = true
+			assert.LessOrEqual(t, f.forget(20*time.Second), noticeTime(n), "%d hosts, seed %d", n, seed)
+		}
+	}
+}
+
+func TestALossInAFleetAtRestIsKnownEverywhereInTime(t *testing.T) {
+	for _, n := range []int{30, 100, 300} {
+		f := newFleet(n, 0.01, 1)
+		f.run(30 * time.Second)
+		f.down[n-2] = true
+		assert.LessOrEqual(t, f.forget(20*time.Second), noticeTime(n), "%d hosts", n)
+	}
+}
+
+func TestTheLossOfMoreThanHalfOfTheHostsIsKnownEverywhereInTime(t *testing.T) {
+	for _, n := range []int{30, 100, 300} {
+		f := newFleet(n, 0, 1)
+		f.run(20 * time.Second)
+		for i := range n * 6 / 10 {
+			f.down[i] = true
+		}
+		assert.LessOrEqual(t, f.forget(20*time.Second), noticeTime(n), "%d hosts", n)
+	}
+}
+
+// A host that hears of a loss before it has heard of the host must not take it for alive when old news come later.
+func TestALostHostIsNotTakenForAliveByAnOlderRumour(t *testing.T) {
+	tr := New(testConfig, Member{Name: "self", Address: address(0)}, nil, rand.New(rand.NewPCG(1, 1)))
+	lost := Member{Name: "lost", Address: address(1), Incarnation: 5, State: Dead}
+	from := Member{Name: "other", Address: address(2), Incarnation: 1}
+	tr.Receive(epoch, Message{Answer: true, From: from, Updates: []Member{lost}})
+	lost.State = Alive
+	tr.Receive(epoch, Message{Answer: true, From: from, Updates: []Member{lost}})
+	for _, m := range tr.Members() {
+		if m.Name == "lost" {
+			assert.Equal(t, Dead, m.State)
+		}
+	}
+	assert.Len(t, tr.Members(), 2)
+}
+
+// BenchmarkNotice reports how long it takes until no live host takes a lost one for alive, and the messages of a host.
+func BenchmarkNotice(b *testing.B) {
+	for _, n := range []int{30, 100, 300, 1000} {
+		for _, lost := range []int{1, n * 6 / 10} {
+			b.Run(fmt.Sprintf("hosts=%d/lost=%d", n, lost), func(b *testing.B) {
+				for range b.N {
+					f := newFleet(n, 0, 1)
+					f.run(30 * time.Second)
+					for i := range lost {
+						f.down[n-1-i] = true
+					}
+					f.messages = 0
+					took := f.forget(time.Minute)
+					b.ReportMetric(took.Seconds(), "s/notice")
+					b.ReportMetric(float64(f.messages)/float64(n-lost)/took.Seconds(), "messages/host/s")
+				}
+			})
+		}
+	}
+}
--- a/parts/coordination/tracker/tracker.go
+++ b/parts/coordination/tracker/tracker.go
@@ -1,7 +1,9 @@
 // Package tracker keeps the list of live hosts by sparse heartbeats with suspicion before removal.
 //
 // Each period a host pings one other host; updates about members ride on the pings and answers, so the traffic of a
-// host does not grow with their number. The list is a hint: no promise may depend on it.
+// host does not grow with their number. Changes of known members go before first sightings, and to a few more hosts at
+// once: in a large fleet that starts, the news of a loss would otherwise queue behind hundreds of joins. The list is a
+// hint: no promise may depend on it.
 package tracker
 
 import (
@@ -66,13 +68,24 @@
 	Updates int
 }
 
+const (
+	// eagerTellings is how often a change is told before it spreads by heartbeats alone.
+	eagerTellings = 3
+	// eagerHosts is the number of further hosts that are pinged, twice a period, while there are such changes.
+	eagerHosts = 3
+	// eagerUpdates is how many times as many changes as other updates ride on one message.
+	eagerUpdates = 10
+)
+
 // entry is a member with what this host remembers about it.
 type entry struct {
 	Member
 	since time.Time
 	told  int
-	rules uint64
-	heard time.Time
+	// changed is set for losses, and for members that are no longer as they were first seen.
+	changed bool
+	rules   uint64
+	heard   time.Time
 }
 
 // Tracker is the membership as one host sees it. It is not safe for concurrent use.
@@ -84,7 +97,18 @@
 	random  *rand.Rand
 	members map[string]*entry
 	order   []string
-	waiting map[string]time.Time
+	waiting map[string]ping
+	// pinged is when the last regular pings were sent.
+	pinged time.Time
+	// changes counts what was changed in members.
+	changes uint64
+}
+
+// ping is one that waits for its answer.
+type ping struct {
+	until time.Time
+	// again is set for the second one: a single message may be lost.
+	again bool
 }
 
 // New returns a Tracker that knows only its own host and the addresses of some others.
@@ -92,7 +116,7 @@
 	return &Tracker{
 		cfg: cfg, self: self, seeds: seeds, random: random,
 		members: make(map[string]*entry),
-		waiting: make(map[string]time.Time),
+		waiting: make(map[string]ping),
 	}
 }
 
@@ -128,6 +152,9 @@
 // Self returns the own host.
 func (t *Tracker) Self() Member { return t.self }
 
+// Changes returns a number that differs if members, or the own host, may have changed since.
+func (t *Tracker) Changes() uint64 { return t.changes + t.self.Incarnation }
+
 // Members returns the other hosts in order of their names, the dead ones too.
 func (t *Tracker) Members() []Member {
 	members := make([]Member, 0, len(t.members))
@@ -146,14 +173,28 @@
 	return 0
 }
 
-// Tick moves the states on and returns the pings of one period.
+// Tick moves the states on and returns the pings that are due. It is called several times in a period.
 func (t *Tracker) Tick(now time.Time) []Send {
-	t.expireAnswers(now)
+	sends := t.expireAnswers(now)
 	t.expireStates(now)
-	var sends []Send
-	if name := t.nextTarget(); name != "" {
-		t.waiting[name] = now.Add(t.cfg.AnswerTimeout)
-		sends = append(sends, Send{To: t.members[name].Address, Message: t.message(false)})
+	pause, isEager := t.cfg.Period, len(sends) > 0 || t.hasEager()
+	if isEager {
+		pause /= 2
+	}
+	if now.Sub(t.pinged) < pause {
+		return sends
+	}
+	t.pinged = now
+	targets := []string{t.nextTarget(false)}
+	if isEager {
+		for range eagerHosts {
+			targets = append(targets, t.nextTarget(true))
+		}
+	}
+	for _, name := range targets {
+		if _, isWaiting := t.waiting[name]; name != "" && !isWaiting {
+			sends = append(sends, t.ping(now, name, false))
+		}
 	}
 	if seed, ok := t.unknownSeed(); ok {
 		sends = append(sends, Send{To: seed, Message: t.message(false)})
@@ -190,16 +231,35 @@
 	return slices.DeleteFunc(t.Members(), func(m Member) bool { return m.State == Dead })
 }
 
-func (t *Tracker) expireAnswers(now time.Time) {
-	for name, until := range t.waiting {
-		if now.Before(until) {
-			continue
+func (t *Tracker) ping(now time.Time, name string, again bool) Send {
+	t.waiting[name] = ping{until: now.Add(t.cfg.AnswerTimeout), again: again}
+	return Send{To: t.members[name].Address, Message: t.message(false)}
+}
+
+// expireAnswers suspects the hosts that have answered neither of two pings, and returns the second pings.
+func (t *Tracker) expireAnswers(now time.Time) []Send {
+	var late []string
+	for name, p := range t.waiting {
+		if !now.Before(p.until) {
+			late = append(late, name)
 		}
+	}
+	slices.Sort(late)
+	var sends []Send
+	for _, name := range late {
+		p := t.waiting[name]
 		delete(t.waiting, name)
-		if e := t.members[name]; e != nil && (e.State == Alive || e.State == Leaving) {
+		e := t.members[name]
+		switch {
+		case e == nil || (e.State != Alive && e.State != Leaving):
+		case !p.again:
+			sends = append(sends, t.ping(now, name, true))
+		default:
 			t.suspect(e, now)
+			t.changes++
 		}
 	}
+	return sends
 }
 
 // suspect keeps Leaving hosts leaving: they are removed when they stop answering.
@@ -215,6 +275,17 @@
 	e.State = s
 	e.since = now
 	e.told = 0
+	e.changed = true
+}
+
+// hasEager tells whether a change was told to few hosts yet.
+func (t *Tracker) hasEager() bool {
+	for _, e := range t.members {
+		if e.changed && e.told < eagerTellings {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Tracker) expireStates(now time.Time) {
@@ -222,24 +293,30 @@
 		age := now.Sub(e.since)
 		if e.State == Suspect && age >= t.cfg.SuspicionTimeout {
 			e.set(Dead, now)
+			t.changes++
 		}
 		if e.State == Dead && age >= t.cfg.Retention {
 			delete(t.members, name)
+			t.changes++
 		}
 	}
 }
 
-// nextTarget goes through the members in a random order, each once a round.
-func (t *Tracker) nextTarget() string {
+// nextTarget goes through the members in a random order, each once a round. New members take a random place in the round
+// under way, so that no host waits for its first ping longer than others.
+func (t *Tracker) nextTarget(isAlive bool) string {
+	isTarget := func(e *entry) bool {
+		return e != nil && e.State != Dead && (!isAlive || e.State != Suspect)
+	}
 	for len(t.order) > 0 {
 		name := t.order[0]
 		t.order = t.order[1:]
-		if e := t.members[name]; e != nil && e.State != Dead {
+		if isTarget(t.members[name]) {
 			return name
 		}
 	}
 	for name, e := range t.members {
-		if e.State != Dead {
+		if isTarget(e) {
 			t.order = append(t.order, name)
 		}
 	}
@@ -274,22 +351,23 @@
 	return Message{Answer: answer, From: t.self, Rules: t.rules, Updates: t.updates()}
 }
 
-// updates returns the members told least often, as long as they have been told fewer times than a rumour needs.
+// updates returns the changes told least often, then the other members told least often, as long as they have been told
+// fewer times than a rumour needs.
 func (t *Tracker) updates() []Member {
 	limit := 3 * bits.Len(uint(len(t.members)+1))
 	var fresh []*entry
+	changes := 0
 	for _, e := range t.members {
 		if e.told < limit {
 			fresh = append(fresh, e)
+			if e.changed {
+				changes++
+			}
 		}
 	}
-	slices.SortFunc(fresh, func(a, b *entry) int {
-		if a.told != b.told {
-			return a.told - b.told
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
-	fresh = fresh[:min(len(fresh), t.cfg.Updates)]
+	slices.SortFunc(fresh, compareUrgency)
+	most := max(t.cfg.Updates, min(changes, eagerUpdates*t.cfg.Updates))
+	fresh = fresh[:min(len(fresh), most)]
 	updates := make([]Member, 0, len(fresh))
 	for _, e := range fresh {
 		e.told++
@@ -298,6 +376,19 @@
 	return updates
 }
 
+// compareUrgency orders changes before first sightings, and what was told less often before the rest.
+func compareUrgency(a, b *entry) int {
+	switch {
+	case a.changed && !b.changed:
+		return -1
+	case b.changed && !a.changed:
+		return 1
+	case a.told != b.told:
+		return a.told - b.told
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
 func (t *Tracker) learn(now time.Time, m Member) {
 	if m.Name == t.self.Name {
 		t.contradict(m)
@@ -305,9 +396,10 @@
 	}
 	e := t.members[m.Name]
 	if e == nil {
-		if m.State != Dead {
-			t.members[m.Name] = &entry{Member: m, since: now}
-		}
+		// The lost are taken in, too: older news of them may be under way.
+		t.members[m.Name] = &entry{Member: m, since: now, changed: m.State != Alive}
+		t.order = slices.Insert(t.order, t.random.IntN(len(t.order)+1), m.Name)
+		t.changes++
 		return
 	}
 	if m.Incarnation < e.Incarnation || (m.Incarnation == e.Incarnation && m.State <= e.State) {
@@ -319,8 +411,11 @@
 	if m.Address != e.Address {
 		delete(t.waiting, m.Name) // the ping went to the old address
 	}
+	changed := e.changed || m.State != e.State || m.Address != e.Address
 	e.Member = m
 	e.set(m.State, now)
+	e.changed = changed
+	t.changes++
 }
 
 // contradict raises the own incarnation if others say that this host is suspect or dead.
--- a/transport/hosts/gossiper/gossiper.go
+++ b/transport/hosts/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 	kindAsk    = "version"
 )
 
+// ticks is how often the tracker is looked at in a period: an answer that is missing is noticed that much sooner.
+const ticks = 5
+
 // Rules is the versioned file that hosts pass on to each other. The version is 0 before there is one.
 type Rules interface {
 	Version() uint64
@@ -57,6 +60,8 @@
 	tracker *tracker.Tracker
 	states  map[string]tracker.Member
 	blind   bool
+	// noted is the number of the tracker's changes at the last note.
+	noted   uint64
 	serving atomic.Pointer[serving]
 	// passed are hosts that others passed over as homes, by when that became due.
 	passed map[string]time.Time
@@ -67,6 +72,8 @@
 type serving struct {
 	members []tracker.Member
 	names   []string
+	// known is the number of hosts that are remembered and do not leave, the dead ones and the own one included.
+	known int
 	// steady are those of the members that may be homes with much to learn.
 	steady map[string]tracker.Member
 }
@@ -93,7 +100,7 @@
 // Run sends heartbeats until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	defer close(g.done)
-	ticker := g.options.Clock.NewTicker(g.options.Config.Period)
+	ticker := g.options.Clock.NewTicker(g.options.Config.Period / ticks)
 	defer ticker.Stop()
 	for {
 		for _, s := range g.tick() {
@@ -121,6 +128,11 @@
 
 // note logs hosts that changed: their state, or, if they started anew, their address. The caller holds mu.
 func (g *Gossiper) note() {
+	changes := g.tracker.Changes()
+	if changes == g.noted && len(g.passed) == 0 {
+		return
+	}
+	g.noted = changes
 	changed := false
 	members := g.tracker.Members()
 	for _, m := range members {
@@ -140,7 +152,7 @@
 
 // rebuild takes the list of serving hosts anew. The caller holds mu, or is the only one.
 func (g *Gossiper) rebuild() {
-	next := &serving{}
+	next := &serving{known: 1}
 	if self := g.tracker.Self(); self.State == tracker.Alive {
 		next.members = append(next.members, self)
 	}
@@ -150,6 +162,9 @@
 		if m.State == tracker.Alive {
 			next.members = append(next.members, m)
 		}
+		if m.State != tracker.Leaving {
+			next.known++
+		}
 	}
 	for _, m := range next.members {
 		next.names = append(next.names, m.Name)
@@ -303,17 +318,11 @@
 // HasMajority tells whether more than half of the hosts that are known, the dead ones too until they are forgotten, are
 // in touch. A host that has met none of its seeds yet is not in touch.
 func (g *Gossiper) HasMajority() bool {
-	serving := len(g.serving.Load().members)
-	known := 1
-	for _, m := range g.Members() {
-		if m.State != tracker.Leaving {
-			known++
-		}
-	}
-	if known == 1 && slices.ContainsFunc(g.options.Seeds, func(a netip.AddrPort) bool { return a != g.options.Self.Address }) {
+	s := g.serving.Load()
+	if s.known == 1 && slices.ContainsFunc(g.options.Seeds, func(a netip.AddrPort) bool { return a != g.options.Self.Address }) {
 		return false
 	}
-	return 2*serving > known
+	return 2*len(s.members) > s.known
 }
 
 // Home returns the host that serves key for all, and whether it is the own one.
