Never have a replaced server take a connection that came after the change of limits

A select with both the stop of the old server and a new connection at hand chooses at random, so a connection made after the change could keep the old limits. Change: a stopped intake takes nothing, and hands on what it took as it was stopped. Test: TestAConnectionAfterNewLimits..., failing before.

--- a/transport/callers/listener/listener.go
+++ b/transport/callers/listener/listener.go
@@ -152,11 +152,16 @@
 			_ = conn.Close()
 			continue
 		}
-		select {
-		case l.conns <- conn:
-		case <-l.closed:
-			_ = conn.Close()
-		}
+		l.hand(conn)
+	}
+}
+
+// hand gives a connection to the newest server.
+func (l *Listener) hand(conn net.Conn) {
+	select {
+	case l.conns <- conn:
+	case <-l.closed:
+		_ = conn.Close()
 	}
 }
 
@@ -209,10 +214,27 @@
 
 func (in *intake) stop() { in.once.Do(func() { close(in.closed) }) }
 
-// Accept returns the next connection.
+func (in *intake) isStopped() bool {
+	select {
+	case <-in.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Accept returns the next connection. One that comes while the intake is stopped belongs to the next one: a select with
+// both at hand would choose at random.
 func (in *intake) Accept() (net.Conn, error) {
+	if in.isStopped() {
+		return nil, net.ErrClosed
+	}
 	select {
 	case conn := <-in.listener.conns:
+		if in.isStopped() {
+			go in.listener.hand(conn)
+			return nil, net.ErrClosed
+		}
 		return conn, nil
 	case <-in.closed:
 		return nil, net.ErrClosed
--- a/transport/callers/listener/listener_test.go
+++ b/transport/callers/listener/listener_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -139,3 +140,22 @@
 	close(release)
 	assert.Equal(t, "whole", <-answers)
 }
+
+// A server that was just replaced may be between two connections when the next one comes.
+func TestAConnectionAfterNewLimitsIsNeverTakenByTheServerBefore(t *testing.T) {
+	l := &Listener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+	before := &intake{listener: l, closed: make(chan struct{})}
+	before.stop()
+	now := &intake{listener: l, closed: make(chan struct{})}
+	conn, other := net.Pipe()
+	defer conn.Close()
+	defer other.Close()
+	for range 100 {
+		l.conns <- conn
+		_, err := before.Accept()
+		require.ErrorIs(t, err, net.ErrClosed)
+		taken, err := now.Accept()
+		require.NoError(t, err)
+		require.Equal(t, conn, taken)
+	}
+}
