Send nothing to endpoints that say in an answer that they leave, or that ask for a pause

Change: the adapter decodes both from every answer of an endpoint (requests, streams at their headers, calls beside requests). The list of endpoints holds a leaving against the incarnation, whatever its entry says, and has the service's home told; a pause is checked before each send and call, and a question for a place names the engines to avoid. If all endpoints of a service ask for a pause, the caller is refused at once with the soonest end. Ruled out: telling all hosts of a leaving endpoint: each hears it in its next answer (docs/design/platform.md).

--- /dev/null
+++ b/internal/daemon/notices_test.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/platformer"
+)
+
+// reach calls host i until each of the endpoints has been asked for something.
+func (r *rig) reach(i int, path string, endpoints ...*platformer.Endpoint) {
+	r.t.Helper()
+	before := make([]int, len(endpoints))
+	for j, e := range endpoints {
+		before[j] = e.Asked()
+	}
+	r.await("calls of the endpoints", func() bool {
+		r.call(i, http.MethodPost, path, "x")
+		for j, e := range endpoints {
+			if e.Asked() == before[j] {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// used returns the endpoint that host i calls at present.
+func (r *rig) used(i int, path string, endpoints []*platformer.Endpoint) *platformer.Endpoint {
+	r.t.Helper()
+	before := make([]int, len(endpoints))
+	for j, e := range endpoints {
+		before[j] = e.Asked()
+	}
+	r.call(i, http.MethodPost, path, "x")
+	for j, e := range endpoints {
+		if e.Asked() > before[j] {
+			return e
+		}
+	}
+	require.Fail(r.t, "no endpoint was called")
+	return nil
+}
+
+func TestAnEndpointThatSaysInAnAnswerThatItLeavesGetsNothingMoreThoughItsEntryIsReady(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	e := r.used(0, "/lookup/1", r.desk)
+	e.Part()
+	r.reach(0, "/lookup/1", e)
+	before := e.Asked()
+	for i := range 30 {
+		if i == 10 {
+			e.Announce() // another entry that says ready
+			time.Sleep(400 * time.Millisecond)
+		}
+		if i == 20 {
+			r.store.SetDown(true)
+		}
+		require.Equal(t, http.StatusOK, r.call(0, http.MethodGet, "/lookup/1", "").status)
+	}
+	assert.Equal(t, before, e.Asked())
+	r.store.SetDown(false)
+	e.Restart()
+	for _, other := range r.desk {
+		if other != e {
+			other.Leave()
+		}
+	}
+	r.reach(0, "/lookup/1", e)
+}
+
+func TestAnEngineThatSaysInAStreamThatItLeavesGetsNoGenerationPrefillOrHoldOfAnyHost(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, prefill: 2, decode: 2})
+	r.started()
+	r.store.SetDown(true)
+	decode, prefill := r.used(0, "/brief/1", r.decode), r.used(0, "/brief/1", r.prefill)
+	decode.Part()
+	prefill.Part()
+	r.reach(0, "/brief/1", decode, prefill)
+	time.Sleep(400 * time.Millisecond) // the bound of the settings
+	decoded, read := decode.Asked(), prefill.Asked()
+	for i := range 20 {
+		require.Equal(t, http.StatusOK, r.call(i%2, http.MethodPost, "/brief/1", "x").status)
+	}
+	assert.Equal(t, decoded, decode.Asked())
+	assert.Equal(t, read, prefill.Asked())
+}
+
+func TestAnEndpointThatAsksForAPauseGetsNothingUntilItsEnd(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	e := r.used(0, "/lookup/1", r.desk)
+	e.SetPause("1.5")
+	r.reach(0, "/lookup/1", e)
+	began, asked := time.Now(), e.Asked()
+	for range 30 {
+		require.Equal(t, http.StatusOK, r.call(0, http.MethodGet, "/lookup/1", "").status)
+	}
+	require.Less(t, time.Since(began), 1400*time.Millisecond)
+	assert.Equal(t, asked, e.Asked())
+	e.SetPause("")
+	for _, other := range r.desk {
+		if other != e {
+			other.Leave()
+		}
+	}
+	r.reach(0, "/lookup/1", e)
+	assert.GreaterOrEqual(t, time.Since(began), 1400*time.Millisecond)
+}
+
+func TestACallerIsRefusedAtOnceWithTheSoonestEndWhileEveryEndpointAsksForAPause(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, desk: 2})
+	r.started()
+	r.desk[0].SetPause("3")
+	r.desk[1].SetPause("9")
+	r.reach(0, "/submit/1", r.desk...)
+	began := time.Now()
+	got := r.call(0, http.MethodPost, "/submit/1", "x")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Less(t, time.Since(began), 500*time.Millisecond)
+	wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	assert.Greater(t, wait, 1.0)
+	assert.LessOrEqual(t, wait, 3.0)
+	assert.Empty(t, runs(r.desk))
+}
+
+func TestAnEngineThatAsksForAPauseGetsNoGenerationPrefillOrHoldUntilItsEnd(t *testing.T) {
+	r := newRig(t, sizes{hosts: 2, prefill: 2, decode: 2})
+	r.started()
+	for _, engines := range [][]*platformer.Endpoint{r.decode, r.prefill} {
+		e := r.used(0, "/brief/1", engines)
+		e.SetPause("3")
+		r.reach(0, "/brief/1", e)
+		time.Sleep(500 * time.Millisecond)
+		asked := e.Asked()
+		for i := range 10 {
+			assert.Equal(t, http.StatusOK, r.call(i%2, http.MethodPost, "/brief/1", "x").status)
+		}
+		assert.LessOrEqual(t, e.Asked()-asked, 2*len(r.hosts), "two a host")
+		e.SetPause("")
+	}
+}
+
+func TestAPauseThatCannotBeReadIsPassedOver(t *testing.T) {
+	for _, text := range []string{"soon", "-1", "NaN"} {
+		r := newRig(t, sizes{hosts: 1, desk: 1})
+		r.started()
+		r.desk[0].SetPause(text)
+		r.reach(0, "/lookup/1", r.desk[0])
+		r.desk[0].SetPause("")
+		assert.Equal(t, http.StatusOK, r.call(0, http.MethodGet, "/lookup/1", "").status, text)
+	}
+}
--- a/lab/platformer/endpoint.go
+++ b/lab/platformer/endpoint.go
@@ -98,6 +98,12 @@
 	number     int
 	sent       int
 	cut        bool
+	// parting has all answers say that the endpoint leaves.
+	parting bool
+	// pause is what 503 asks callers to wait; while it is not empty, everything is turned away.
+	pause string
+	// asked counts everything that arrived, calls beside requests too.
+	asked int
 }
 
 // Start starts an endpoint and has it announce itself.
@@ -113,7 +119,11 @@
 	mux.HandleFunc("GET /api/report", e.report)
 	mux.HandleFunc("POST /api/order", e.order)
 	mux.HandleFunc("/", e.serve)
-	e.server = httptest.NewServer(mux)
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.turnAway(w) {
+			mux.ServeHTTP(w, r)
+		}
+	}))
 	peers.Store(e.Address().String(), e)
 	e.Announce()
 	return e
@@ -155,6 +165,52 @@
 	e.announce()
 }
 
+// Part has all answers say that the endpoint leaves, while its entry goes on as before.
+func (e *Endpoint) Part() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.parting = true
+}
+
+// Restart has the endpoint go on as its next incarnation, at the same address and under the same id.
+func (e *Endpoint) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.parting, e.pause, e.beats = false, "", 0
+	e.born = max(e.born+1, time.Now().UnixMilli())
+	e.announce()
+}
+
+// SetPause has the endpoint turn everything away and ask for a pause; an empty text ends that.
+func (e *Endpoint) SetPause(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pause = text
+}
+
+// Asked returns how many requests and calls arrived here.
+func (e *Endpoint) Asked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
+// turnAway counts an arrival, and answers it if the endpoint asks for a pause.
+func (e *Endpoint) turnAway(w http.ResponseWriter) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked++
+	if e.parting {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if e.pause == "" {
+		return false
+	}
+	w.Header().Set("Retry-After", e.pause)
+	e.refuse(w, http.StatusServiceUnavailable)
+	return true
+}
+
 // Vanish removes the endpoint's entry.
 func (e *Endpoint) Vanish() { e.store.Put("keyed.servers", e.cfg.ID, nil) }
 
--- a/parts/coordination/placer/placer.go
+++ b/parts/coordination/placer/placer.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
@@ -57,8 +58,13 @@
 	FirstBy time.Time
 	// MaxPause is the longest pause between two events for an answer within the target, 0 for any.
 	MaxPause time.Duration
+	// Avoid are engines that want nothing from the host that asks.
+	Avoid []string
 }
 
+// avoids tells whether an engine wants nothing from the host that asks.
+func (r Request) avoids(e Engine) bool { return slices.Contains(r.Avoid, e.ID) }
+
 // Place is where a request goes. Reader is empty if the engine reads the prompt itself.
 type Place struct {
 	ID     string
--- a/parts/coordination/placer/search.go
+++ b/parts/coordination/placer/search.go
@@ -81,10 +81,10 @@
 	s.tried++
 	e, ok := s.pickGenerator(r, func(Engine) bool { return true })
 	if !ok {
-		s.missed = append(s.missed, r)
+		s.miss(r)
 		return Place{}, false
 	}
-	reader, ok := s.pickReader(e, r.Prompt)
+	reader, ok := s.pickReader(e, r)
 	if !ok {
 		return s.placeUnread(r)
 	}
@@ -102,7 +102,7 @@
 func (s *search) placeUnread(r Request) (Place, bool) {
 	e, ok := s.pickGenerator(r, func(e Engine) bool { return s.mayRead(r, e) })
 	if !ok {
-		s.missed = append(s.missed, r)
+		s.miss(r)
 		return Place{}, false
 	}
 	s.reading[e.ID] = s.now.Add(s.ownTime(r.Prompt) + 2*s.packer.Pause(s.now, e.ID, s.service.Stride))
@@ -110,6 +110,13 @@
 	return Place{ID: r.ID, Engine: e.ID}, true
 }
 
+// miss remembers that a request found no room. One that some engines turn away says nothing of others.
+func (s *search) miss(r Request) {
+	if len(r.Avoid) == 0 {
+		s.missed = append(s.missed, r)
+	}
+}
+
 // isHopeless tells whether somebody who wants no more than r has found no room.
 func (s *search) isHopeless(r Request) bool {
 	for _, m := range s.missed {
@@ -131,7 +138,7 @@
 		if fitting >= compared && best.ID != "" {
 			break
 		}
-		if !isUsable(e) {
+		if r.avoids(e) || !isUsable(e) {
 			continue
 		}
 		usable++
@@ -179,15 +186,15 @@
 }
 
 // pickReader returns the reading engine that has the prompt read soonest, if one has not enough to do.
-func (s *search) pickReader(generator Engine, prompt int) (Engine, bool) {
+func (s *search) pickReader(generator Engine, r Request) (Engine, bool) {
 	var best Engine
 	var least time.Duration
 	for _, e := range s.readingEngines {
 		backlog := s.readers.Backlog(s.now, e.ID)
-		if backlog > readerWindow {
+		if backlog > readerWindow || r.avoids(e) {
 			continue
 		}
-		ready := backlog + s.readers.Time(e.ID, prompt)
+		ready := backlog + s.readers.Time(e.ID, r.Prompt)
 		if e.DataCentre != generator.DataCentre {
 			ready += farReader
 		}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -307,6 +307,67 @@
 	Type string `json:"type"`
 }
 
+// LogAnswer answers a LogAsk.
+type LogAnswer struct {
+	// Age is how long ago the host began to read the log, the last time that it
+	// succeeded, in milliseconds.
+	Age int `json:"age"`
+
+	// Lost is set while the log is out of the host's reach.
+	Lost bool `json:"lost"`
+
+	// Next is the offset to go on from.
+	Next uint64 `json:"next"`
+
+	// Outages counts how often the log was out of the host's reach.
+	Outages int `json:"outages"`
+
+	// Packed is set if the records are compressed.
+	Packed bool `json:"packed"`
+
+	// Records holds LogRecords.
+	Records []byte `json:"records"`
+
+	// State tells whether the changes are there, can no longer be told, or the topic
+	// is not known yet.
+	State int `json:"state"`
+}
+
+// LogAsk asks a host for what it has read of a topic of the log: changes from an
+// offset on, or everything.
+type LogAsk struct {
+	// From corresponds to the JSON schema field "from".
+	From uint64 `json:"from"`
+
+	// Topic corresponds to the JSON schema field "topic".
+	Topic string `json:"topic"`
+
+	// Wait is how long the answer may be kept back for want of changes, in
+	// milliseconds.
+	Wait int `json:"wait"`
+
+	// Whole asks for the newest record of every key.
+	Whole bool `json:"whole"`
+}
+
+// LogRecord is one record of a topic. An empty value removes the key.
+type LogRecord struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// Offset corresponds to the JSON schema field "offset".
+	Offset uint64 `json:"offset"`
+
+	// Value corresponds to the JSON schema field "value".
+	Value []byte `json:"value"`
+}
+
+// LogRecords are records of a topic in the order of their offsets.
+type LogRecords struct {
+	// List corresponds to the JSON schema field "list".
+	List []LogRecord `json:"list"`
+}
+
 // OnceEntry is one step in the life of a claim.
 type OnceEntry struct {
 	// ID corresponds to the JSON schema field "id".
@@ -417,6 +478,9 @@
 	// Age corresponds to the JSON schema field "age".
 	Age int `json:"age"`
 
+	// Avoid are the engines that want nothing from the asking host at present.
+	Avoid []string `json:"avoid,omitempty,omitzero"`
+
 	// First corresponds to the JSON schema field "first".
 	First int `json:"first"`
 
@@ -457,6 +521,10 @@
 // PlaceTell tells a dispatcher how far a generation is at an engine: its prompt is
 // read, its output began or it has ended.
 type PlaceTell struct {
+	// Born is the start of the engine's incarnation in Unix milliseconds if the
+	// engine leaves, else 0.
+	Born int64 `json:"born"`
+
 	// Engine corresponds to the JSON schema field "engine".
 	Engine string `json:"engine"`
 
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -55,6 +55,8 @@
 type Engines interface {
 	dispatcher.Engines
 	conductor.Engines
+	// Listen has the list of endpoints told what engines say of themselves.
+	Listen(l *enlister.Enlister)
 }
 
 // RoutingConfig is the checked configuration of a host whose routes come from the platform's store.
@@ -168,6 +170,8 @@
 		Deaths: endpointsLost, Keep: suspicionAge, Hosts: h.gossiper, Messenger: h.messenger, Clock: clock, Logs: logs,
 	})
 	h.endpoints.OnGone(isolate.Gone)
+	h.endpoints.Measure(h.meter.Scope)
+	cfg.Engines.Listen(h.endpoints)
 	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
 		Orders: conductor.New(conductor.Options{
@@ -176,6 +180,7 @@
 		}),
 		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs,
 	})
+	h.endpoints.OnLeaving(h.places.TellLeaving)
 	h.sender = sender.New(sender.Options{
 		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: h.endpoints, Isolator: isolate, Hosts: h.sharers, Retry: cfg.Retry,
 		Clock: clock, Random: h.random("sender", incarnation), Logs: logs, Scope: h.meter.Scope,
--- a/transport/callers/router/call.go
+++ b/transport/callers/router/call.go
@@ -38,7 +38,7 @@
 	if failed.Outcome == sender.Unknown {
 		return unknown(ctx, failed.Reason)
 	}
-	return ending{status: http.StatusServiceUnavailable, reason: failed.Reason, wait: retryPause}
+	return ending{status: http.StatusServiceUnavailable, reason: failed.Reason, wait: max(retryPause, failed.Wait)}
 }
 
 // unknown is the ending of a request that may have run.
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -213,7 +213,7 @@
 
 // end gives the final answer of a stream that no endpoint brought to its end.
 func (l *relay) end(ctx context.Context, failed *sender.SendError) {
-	l.finish(ctx, ending{status: http.StatusServiceUnavailable, reason: failed.Reason, wait: retryPause})
+	l.finish(ctx, ending{status: http.StatusServiceUnavailable, reason: failed.Reason, wait: max(retryPause, failed.Wait)})
 }
 
 // goesOn tells whether a stream that err kept from its end may be tried once more: without a send that reached an endpoint
@@ -240,7 +240,7 @@
 	x.Sender.CountRequest(j.Service)
 	l := x.newRelay(w, j)
 	tried := make(map[string]bool)
-	failed := &sender.SendError{Outcome: sender.NotSent, Reason: "no endpoint is listed"}
+	failed := x.Sender.NoEndpoint(j.Service)
 	for ctx.Err() == nil {
 		e := x.Sender.Pick(x.Sender.Endpoints.Service(j.Service), tried)
 		if e == nil {
--- a/transport/endpoints/dispatcher/desk.go
+++ b/transport/endpoints/dispatcher/desk.go
@@ -256,7 +256,7 @@
 	engines := make([]placer.Engine, 0, len(listed))
 	for _, e := range listed {
 		engines = append(engines, placer.Engine{
-			ID: e.ID, DataCentre: e.DataCentre, Reads: e.Stage == enroller.Prefill, Out: e.IsEjected(now),
+			ID: e.ID, DataCentre: e.DataCentre, Reads: e.Stage == enroller.Prefill, Out: e.IsEjected(now) || e.IsPaused(now),
 			IsFailing: e.IsFailing(),
 		})
 	}
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 	Lost
 	// Refused means that the engine did not take the generation, in spite of its hold.
 	Refused
+	// Leaves means that the engine has said that it leaves.
+	Leaves
 )
 
 // frees tells whether a step makes room for others.
@@ -85,6 +88,8 @@
 	// Output is the number of tokens made in Took.
 	Output int
 	Took   time.Duration
+	// Born is the start of the engine's incarnation that leaves.
+	Born time.Time
 }
 
 // Ask describes a generation that wants a place. Numbers are of tokens.
@@ -98,6 +103,8 @@
 	// MaxPause is the longest pause between two events for an answer within the target.
 	MaxPause time.Duration
 	Arrived  time.Time
+	// Avoid are the engines that want nothing from this host at present.
+	Avoid []string
 	// FirstBy is when the first event must come for an answer within the target, Latest the last moment to start at all.
 	FirstBy time.Time
 	Latest  time.Time
@@ -108,7 +115,7 @@
 	return placer.Request{
 		Job:        packer.Job{ID: a.ID, Prompt: a.Prompt, Hint: a.Hint, MaxOutput: a.MaxOutput},
 		Item:       queuer.Item{Priority: a.Priority, Arrived: a.Arrived, Latest: a.Latest},
-		DataCentre: dataCentre, FirstBy: a.FirstBy, MaxPause: a.MaxPause,
+		DataCentre: dataCentre, FirstBy: a.FirstBy, MaxPause: a.MaxPause, Avoid: a.Avoid,
 	}
 }
 
@@ -256,6 +263,9 @@
 func (d *Dispatcher) Place(ctx context.Context, a Ask) (Place, error) {
 	patience := minPatience
 	for {
+		if refused := d.refusedByAll(a.Service); refused != nil {
+			return Place{}, refused
+		}
 		answer, err := d.ask(ctx, a, patience)
 		if ctx.Err() != nil {
 			go d.Tell(Progress{Service: a.Service, ID: a.ID, Step: Failed})
@@ -281,6 +291,20 @@
 	}
 }
 
+// refusedByAll returns a refusal if every engine that generates wants nothing from this host.
+func (d *Dispatcher) refusedByAll(service string) error {
+	paused, ends := d.Endpoints.Paused(service)
+	if len(paused) == 0 {
+		return nil
+	}
+	for _, e := range d.Endpoints.Service(service) {
+		if e.Stage != enroller.Prefill && !slices.Contains(paused, e.ID) {
+			return nil
+		}
+	}
+	return &RefusedError{Reason: "every engine asks for a pause", Wait: ends.Sub(d.Clock.Now())}
+}
+
 // resolve finds the engines of an answer in the own list. An engine that is not in it cannot be used.
 func (d *Dispatcher) resolve(a Ask, answer wire.PlaceAnswer) (Place, bool) {
 	p := Place{
@@ -295,6 +319,7 @@
 // ask asks the home, or decides alone while the home is silent.
 func (d *Dispatcher) ask(ctx context.Context, a Ask, patience time.Duration) (wire.PlaceAnswer, error) {
 	home, own := d.home(a.Service)
+	a.Avoid, _ = d.Endpoints.Paused(a.Service)
 	if own || d.isSilent(home.Name) {
 		return d.desk(a.Service).poll(ctx, a.request(d.DataCentre), patience, !own || !d.Hosts.HasMajority()), nil
 	}
@@ -315,6 +340,7 @@
 	return wire.PlaceAsk{
 		Service: a.Service, ID: a.ID, Zone: d.DataCentre, Prompt: a.Prompt, Hint: a.Hint, Max: a.MaxOutput, Rank: a.Priority,
 		Pause: int(a.MaxPause.Milliseconds()),
+		Avoid: a.Avoid,
 		Age:   -left(a.Arrived), First: left(a.FirstBy), Latest: left(a.Latest),
 		Sent: d.isRedirected(a.Service) || d.isStandIn(a.Service, home),
 	}
@@ -327,8 +353,8 @@
 	now := d.Clock.Now()
 	a := Ask{
 		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank,
-		MaxPause: milliseconds(w.Pause),
-		Arrived:  now.Add(-milliseconds(w.Age)), FirstBy: now.Add(milliseconds(w.First)), Latest: now.Add(milliseconds(w.Latest)),
+		MaxPause: milliseconds(w.Pause), Avoid: w.Avoid,
+		Arrived: now.Add(-milliseconds(w.Age)), FirstBy: now.Add(milliseconds(w.First)), Latest: now.Add(milliseconds(w.Latest)),
 	}
 	return d.desk(w.Service).poll(ctx, a.request(w.Zone), milliseconds(w.Wait), !d.Hosts.HasMajority()), nil
 }
@@ -349,6 +375,9 @@
 	t := wire.PlaceTell{
 		Service: p.Service, ID: p.ID, Engine: p.Engine, Step: int(p.Step), Output: p.Output, Took: int(p.Took.Milliseconds()),
 	}
+	if p.Step == Leaves {
+		t.Born = p.Born.UnixMilli()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerSlack)
 	defer cancel()
 	if err := messenger.Tell(ctx, d.Messenger, home.Address, kindTell, t); err != nil {
@@ -356,7 +385,16 @@
 	}
 }
 
+// TellLeaving tells the home of a service that an engine has said that it leaves: the store may be out of reach.
+func (d *Dispatcher) TellLeaving(e *enlister.Endpoint) {
+	go d.Tell(Progress{Service: e.Service, Engine: e.ID, Step: Leaves, Born: e.Born})
+}
+
 func (d *Dispatcher) answerTell(_ context.Context, w wire.PlaceTell) (wire.Empty, error) {
+	if Step(w.Step) == Leaves {
+		d.Endpoints.Depart(w.Engine, time.UnixMilli(w.Born), "peer")
+		return wire.Empty{}, nil
+	}
 	d.desk(w.Service).tell(Progress{
 		Service: w.Service, ID: w.ID, Engine: w.Engine, Step: Step(w.Step), Output: w.Output, Took: milliseconds(w.Took),
 	})
--- a/transport/endpoints/dispatcher/hold.go
+++ b/transport/endpoints/dispatcher/hold.go
@@ -69,8 +69,9 @@
 	t.taking = false
 	if err != nil {
 		var full *FullError
+		var paused *enlister.PausedError
 		k.placer.NotHeld(now, p, errors.As(err, &full))
-		if full == nil && e != nil {
+		if full == nil && !errors.As(err, &paused) && e != nil {
 			eventer.Warn(d.Logs, eventer.SendFailed, "request", p.ID, "endpoint", e.ID, "service", k.service,
 				"stage", e.Stage.String(), "outcome", "no hold", "reason", err.Error())
 			e.Judge(func(h *ejector.Health) { h.Refused(now) })
--- a/transport/endpoints/enlister/enlister.go
+++ b/transport/endpoints/enlister/enlister.go
@@ -3,12 +3,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
@@ -22,6 +24,8 @@
 	inflight atomic.Int64
 	mu       sync.Mutex
 	health   ejector.Health
+	// pausedUntil is until when the endpoint wants nothing from this host.
+	pausedUntil time.Time
 }
 
 // InFlight returns the number of calls of this host under way.
@@ -68,37 +72,61 @@
 type Enlister struct {
 	// onGone is told of endpoints that are gone, or back as another incarnation.
 	onGone func(id string)
+	// onLeaving is told of endpoints that say beside an answer that they leave.
+	onLeaving func(*Endpoint)
+	// count counts what endpoints say of themselves, by kind.
+	count  func(kind string)
 	decode Decode
 	clock  clockwork.Clock
 	logs   hclog.Logger
 	mu     sync.Mutex
 	list   *enroller.Enroller
 	known  map[string]*Endpoint
-	byName atomic.Pointer[map[string][]*Endpoint]
-	ready  chan struct{}
-	once   sync.Once
+	index  atomic.Pointer[index]
+	// departed are the incarnations that have said that they leave.
+	departed map[string]departure
+	ready    chan struct{}
+	once     sync.Once
 	// lostAt is when the store went out of reach, in nanoseconds; 0 while it answers.
 	lostAt atomic.Int64
 }
 
+// index finds the endpoints of one moment.
+type index struct {
+	// byService has those that do not leave.
+	byService map[string][]*Endpoint
+	byAddress map[netip.AddrPort]*Endpoint
+}
+
 // New returns an empty list. Without a decode function it takes no records.
 func New(decode Decode, clock clockwork.Clock, logs hclog.Logger) *Enlister {
 	e := &Enlister{
 		decode: decode, clock: clock, logs: logs, list: enroller.New(),
-		known: make(map[string]*Endpoint), ready: make(chan struct{}), onGone: func(string) {},
+		known: make(map[string]*Endpoint), departed: make(map[string]departure), ready: make(chan struct{}),
+		onGone: func(string) {}, onLeaving: func(*Endpoint) {}, count: func(string) {},
 	}
-	e.byName.Store(&map[string][]*Endpoint{})
+	e.index.Store(&index{})
 	return e
 }
 
 // OnGone has f told of each endpoint that is gone or has started anew. It is set before records come.
 func (e *Enlister) OnGone(f func(id string)) { e.onGone = f }
 
+// OnLeaving has f told of each endpoint that says beside an answer that it leaves. It is set before records come.
+func (e *Enlister) OnLeaving(f func(*Endpoint)) { e.onLeaving = f }
+
+// Measure has what endpoints say of themselves counted. It is set before records come.
+func (e *Enlister) Measure(scope tally.Scope) {
+	e.count = func(kind string) {
+		scope.Tagged(map[string]string{"kind": kind}).Counter("endpoint_notices").Inc(1)
+	}
+}
+
 // Ready is closed once the list has been read.
 func (e *Enlister) Ready() <-chan struct{} { return e.ready }
 
 // Service returns the endpoints of a service that do not leave.
-func (e *Enlister) Service(name string) []*Endpoint { return (*e.byName.Load())[name] }
+func (e *Enlister) Service(name string) []*Endpoint { return e.index.Load().byService[name] }
 
 // Find returns an endpoint of a service that does not leave, nil if there is none of that ID.
 func (e *Enlister) Find(service, id string) *Endpoint {
@@ -137,7 +165,7 @@
 }
 
 func (e *Enlister) put(ep enroller.Endpoint, offset uint64) {
-	if e.list.Put(ep, offset) && !isSame(e.known[ep.ID], ep) {
+	if e.list.Put(ep, offset) && !isSame(e.known[ep.ID], e.correct(ep)) {
 		e.rebuild(offset)
 	}
 }
@@ -204,15 +232,17 @@
 
 // rebuild publishes the list anew and logs what changed. The caller holds mu.
 func (e *Enlister) rebuild(offset uint64) {
-	byName := make(map[string][]*Endpoint)
+	next := &index{byService: make(map[string][]*Endpoint), byAddress: make(map[netip.AddrPort]*Endpoint)}
 	seen := make(map[string]bool)
 	for _, ep := range e.list.All() {
+		ep = e.correct(ep)
 		seen[ep.ID] = true
 		old := e.known[ep.ID]
-		next := e.follow(old, ep, offset)
-		e.known[ep.ID] = next
+		known := e.follow(old, ep, offset)
+		e.known[ep.ID] = known
+		next.byAddress[ep.Address] = known
 		if !ep.Leaving {
-			byName[ep.Service] = append(byName[ep.Service], next)
+			next.byService[ep.Service] = append(next.byService[ep.Service], known)
 		}
 	}
 	for id, old := range e.known {
@@ -222,7 +252,16 @@
 			eventer.Info(e.logs, eventer.EndpointGone, "endpoint", id, "service", old.Service, "offset", offset)
 		}
 	}
-	e.byName.Store(&byName)
+	e.forgetDepartures()
+	e.index.Store(next)
+}
+
+// correct returns ep as it is known to be: its entry may be older than what it has said of itself. The caller holds mu.
+func (e *Enlister) correct(ep enroller.Endpoint) enroller.Endpoint {
+	if d, ok := e.departed[ep.ID]; ok && d.born.Equal(ep.Born) {
+		ep.Leaving = true
+	}
+	return ep
 }
 
 // isSame tells whether ep says nothing new of an endpoint, as most announcements do.
@@ -242,6 +281,7 @@
 	}
 	if old != nil && old.Born.Equal(ep.Born) && old.Address == ep.Address {
 		old.Judge(func(h *ejector.Health) { next.health = *h })
+		next.pausedUntil = old.PausedUntil()
 	}
 	eventer.Info(e.logs, eventer.EndpointChanged, "endpoint", ep.ID, "service", ep.Service, "address", ep.Address,
 		"zone", ep.DataCentre, "stage", ep.Stage.String(), "leaving", ep.Leaving, "offset", offset)
--- a/transport/endpoints/sender/call.go
+++ b/transport/endpoints/sender/call.go
@@ -26,12 +26,12 @@
 	Body     []byte
 }
 
-// Pick returns the endpoint with the least cost that was not tried yet, nil if there is none.
+// Pick returns the endpoint with the least cost that was not tried yet and has not asked for a pause, nil if there is none.
 func (x *Sender) Pick(candidates []*enlister.Endpoint, tried map[string]bool) *enlister.Endpoint {
 	now := x.Clock.Now()
 	var fresh []*enlister.Endpoint
 	for _, e := range candidates {
-		if !tried[e.ID] {
+		if !tried[e.ID] && !e.IsPaused(now) {
 			fresh = append(fresh, e)
 		}
 	}
@@ -63,7 +63,7 @@
 // error is a *SendError.
 func (x *Sender) Once(ctx context.Context, j *Job) (*Reply, error) {
 	tried := make(map[string]bool)
-	last := &SendError{Outcome: NotSent, Reason: "no endpoint is listed"}
+	last := x.NoEndpoint(j.Service)
 	for ctx.Err() == nil {
 		e := x.Pick(x.Endpoints.Service(j.Service), tried)
 		if e == nil {
@@ -119,7 +119,7 @@
 	defer cancel()
 	l := &lookup{
 		sender: x, job: j, tried: make(map[string]bool), ended: make(chan lookedUp, max(1, j.MaxAttempts)),
-		last: &SendError{Outcome: NotSent, Reason: "no endpoint is listed"},
+		last: x.NoEndpoint(j.Service),
 	}
 	l.start(ctx)
 	hedge := l.hedge()
--- a/transport/endpoints/sender/dialect.go
+++ b/transport/endpoints/sender/dialect.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 )
 
 // Send is what one send to an endpoint carries beside the caller's own headers.
@@ -28,6 +30,8 @@
 	IsForeign bool
 	// NotRun promises that the endpoint did not run the request.
 	NotRun bool
+	// Notice is what the endpoint says of itself.
+	Notice enlister.Notice
 }
 
 // Dialect reads and writes the headers between routers and endpoints.
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -46,6 +46,8 @@
 	Endpoint string
 	Outcome  Outcome
 	Reason   string
+	// Wait is how long endpoints want nothing more, 0 if none has asked for a pause.
+	Wait time.Duration
 }
 
 func (e *SendError) Error() string {
@@ -84,6 +86,11 @@
 	if ctx.Err() != nil {
 		return nil, x.unanswered(j, e, NotSent, "no time is left") // which says nothing of the endpoint
 	}
+	if until := e.PausedUntil(); x.Clock.Now().Before(until) {
+		failed := x.unanswered(j, e, NotSent, "the endpoint asked for a pause")
+		failed.Wait = until.Sub(x.Clock.Now())
+		return nil, failed
+	}
 	r, err := x.outgoing(ctx, j, e, s)
 	if err != nil {
 		return nil, &SendError{Endpoint: e.ID, Outcome: NotSent, Reason: err.Error()}
@@ -93,6 +100,9 @@
 		return nil, x.failed(ctx, j, e, sent, err)
 	}
 	a := x.Dialect.Answer(resp, j.ID)
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		x.Endpoints.Notice(e, a.Notice)
+	}
 	if a.NotRun {
 		_ = resp.Body.Close()
 		reason := fmt.Sprintf("refused with %d", resp.StatusCode)
@@ -146,6 +156,14 @@
 	_ = conn.Close()
 }
 
+// NoEndpoint is the end of a request for which no endpoint can be called: none is listed, or all ask for a pause.
+func (x *Sender) NoEndpoint(service string) *SendError {
+	if _, ends := x.Endpoints.Paused(service); !ends.IsZero() {
+		return &SendError{Outcome: NotSent, Reason: "every endpoint asks for a pause", Wait: ends.Sub(x.Clock.Now())}
+	}
+	return &SendError{Outcome: NotSent, Reason: "no endpoint is listed"}
+}
+
 // unanswered logs a send without an answer to pass on.
 func (x *Sender) unanswered(j *Job, e *enlister.Endpoint, outcome Outcome, reason string) *SendError {
 	eventer.Warn(x.Logs, eventer.SendFailed, "request", j.ID, "endpoint", e.ID, "service", e.Service,
--- a/transport/eventer/eventer.go
+++ b/transport/eventer/eventer.go
@@ -25,6 +25,8 @@
 	LogRegained     = Event{204, "log reached again"}
 	StreamExpired   = Event{202, "records expired before they were read"}
 	RecordDamaged   = Event{203, "record unreadable"}
+	SourceChanged   = Event{205, "source of the log changed"}
+	SourceFailed    = Event{206, "source of the log failed"}
 	RulesInForce    = Event{301, "rules in force"}
 	RulesStalled    = Event{302, "rules not judged"}
 	RulesFromPeer   = Event{303, "rules taken from a peer"}
@@ -45,6 +47,8 @@
 	ReleaseFailed   = Event{610, "engine memory not released"}
 	SplitChosen     = Event{611, "split of engines chosen"}
 	OrderFailed     = Event{612, "order failed"}
+	EndpointPaused  = Event{613, "endpoint asks for a pause"}
+	NoticeDamaged   = Event{614, "notice of an endpoint unreadable"}
 	NotJoined       = Event{404, "no seed reached"}
 	Introduced      = Event{405, "hosts read from the log"}
 	NotIntroduced   = Event{406, "log not reached to find hosts"}
@@ -64,9 +68,10 @@
 // Events lists every event.
 var Events = []Event{
 	Started, Draining, Stopped, LibraryNote, LogUnreachable, LogRegained, StreamExpired, RecordDamaged,
+	SourceChanged, SourceFailed,
 	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
 	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, EndpointChanged, EndpointGone, StageOrdered,
-	DutyChanged, ReleaseFailed, SplitChosen, OrderFailed, NotJoined, Introduced, NotIntroduced, HomeSilent, HomeHeard,
+	DutyChanged, ReleaseFailed, SplitChosen, OrderFailed, EndpointPaused, NoticeDamaged, NotJoined, Introduced, NotIntroduced, HomeSilent, HomeHeard,
 	StoodStill, AttemptFailed, Superseded, RequestEnded, SendFailed, Crowded, LinesDropped, Reloaded, AuditLost,
 }
 
