Have one host of each data centre read the platform's log for the others

Change: delegator chooses a reader by rendezvous hashing, replicator keeps the newest records, relayer asks and answers; who finds its reader late, out of touch or turned away reads the log itself at once. A host that the store turns away follows through another one and is told to be blind. Ruled out: groups of the store, a leased reader, gossip of changes (docs/design/log-relay.md).

--- /dev/null
+++ b/parts/coordination/delegator/delegator.go
@@ -0,0 +1,132 @@
+// Package delegator decides which hosts read the platform's log and which take what others have read.
+//
+// It answers fleets of hundreds of hosts that follow the same topics: one host of each data centre reads, the others ask
+// it for changes. A host whose source fails, or knows only what is too old, reads the log itself at once, so that the
+// bounds on what must be followed hold whatever becomes of the source. Who reads is a hint; nothing has to be agreed.
+package delegator
+
+import (
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
+)
+
+const (
+	// rest is how long a source that failed is passed over.
+	rest = 5 * time.Second
+	// askedFor is how long a host goes on reading the log after others have asked it for changes. They ask several times
+	// a second.
+	askedFor = 3 * time.Second
+	// weakest is the part of the strongest candidate's processor share that a reader must have.
+	weakest = 0.5
+	// firstRetry and lastRetry bound the time between two tries of a log that is out of reach. It doubles from one to the
+	// other.
+	firstRetry = time.Second
+	lastRetry  = 8 * time.Second
+	// askedRetry is that time for a host that others ask: it tells them when the log is back.
+	askedRetry = time.Second
+)
+
+// Host is a candidate for reading the log.
+type Host struct {
+	Name       string
+	DataCentre string
+	// Blind hosts do not reach the log.
+	Blind bool
+	// Power is the processor share.
+	Power int
+}
+
+// Delegator is the choice of one host. It is not safe for concurrent use.
+type Delegator struct {
+	self    Host
+	resting map[string]time.Time
+	asked   time.Time
+	// lost is set while the log is out of reach of this host; retryAt and retry are when it is tried next, and the time
+	// after that.
+	lost    bool
+	retryAt time.Time
+	retry   time.Duration
+}
+
+// New returns the Delegator of a host.
+func New(self Host) *Delegator {
+	return &Delegator{self: self, resting: make(map[string]time.Time)}
+}
+
+// Asked takes in that another host asks for changes.
+func (d *Delegator) Asked(now time.Time) { d.asked = now }
+
+// Failed takes in that a source did not answer, or knew only what is too old.
+func (d *Delegator) Failed(now time.Time, source string) { d.resting[source] = now.Add(rest) }
+
+// Source returns the host to take changes from, "" for the log itself. A host that does not reach the log takes them from
+// another one, if there is any.
+func (d *Delegator) Source(now time.Time, hosts []Host) string {
+	if d.isAsked(now) && !d.lost {
+		return ""
+	}
+	for name, until := range d.resting {
+		if !now.Before(until) {
+			delete(d.resting, name)
+		}
+	}
+	source := ranker.Home("log/"+d.self.DataCentre, d.candidates(hosts))
+	if source == d.self.Name {
+		return ""
+	}
+	return source
+}
+
+func (d *Delegator) isAsked(now time.Time) bool {
+	return !d.asked.IsZero() && now.Sub(d.asked) < askedFor
+}
+
+// candidates returns the hosts that may read for this one. If none reaches the log, any of them may: it will tell when
+// the log is back.
+func (d *Delegator) candidates(hosts []Host) []string {
+	var near []Host
+	seeing := 0
+	for _, h := range hosts {
+		_, isResting := d.resting[h.Name]
+		if h.DataCentre == d.self.DataCentre && !isResting && (!d.lost || h.Name != d.self.Name) {
+			near = append(near, h)
+			if !h.Blind {
+				seeing++
+			}
+		}
+	}
+	most := 0
+	for _, h := range near {
+		if !h.Blind || seeing == 0 {
+			most = max(most, h.Power)
+		}
+	}
+	var names []string
+	for _, h := range near {
+		if (!h.Blind || seeing == 0) && float64(h.Power) >= weakest*float64(most) {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+// Lost takes in that the log did not answer this host.
+func (d *Delegator) Lost(now time.Time) {
+	d.lost = true
+	most := lastRetry
+	if d.isAsked(now) {
+		most = askedRetry
+	}
+	d.retry = min(max(2*d.retry, firstRetry), most)
+	d.retryAt = now.Add(d.retry)
+}
+
+// Reached takes in that the log answers.
+func (d *Delegator) Reached() { d.lost, d.retry, d.retryAt = false, 0, time.Time{} }
+
+// MayTry tells whether the log is worth a try by a host that has a source: not while it is known to be out of reach.
+func (d *Delegator) MayTry(now time.Time) bool { return !d.lost || !now.Before(d.retryAt) }
+
+// IsProbeDue tells whether the log, which was out of reach, is to be tried again.
+func (d *Delegator) IsProbeDue(now time.Time) bool { return d.lost && !now.Before(d.retryAt) }
--- /dev/null
+++ b/parts/coordination/delegator/delegator_test.go
@@ -0,0 +1,116 @@
+package delegator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func fleet(n int) []Host {
+	var hosts []Host
+	for i := range n {
+		hosts = append(hosts, Host{Name: fmt.Sprintf("host-%03d", i), DataCentre: fmt.Sprint(i % 3), Power: 200})
+	}
+	return hosts
+}
+
+func TestOneHostOfEachDataCentreReadsForTheOthers(t *testing.T) {
+	for _, n := range []int{3, 12, 100, 300} {
+		hosts := fleet(n)
+		readers := make(map[string]string)
+		for _, h := range hosts {
+			source := New(h).Source(epoch, hosts)
+			if source == "" {
+				source = h.Name
+			}
+			if readers[h.DataCentre] == "" {
+				readers[h.DataCentre] = source
+			}
+			assert.Equal(t, readers[h.DataCentre], source, "%d hosts", n)
+		}
+		assert.Len(t, readers, 3)
+	}
+}
+
+func TestStrongHostsThatReachTheLogReadFirst(t *testing.T) {
+	hosts := fleet(30)
+	hosts[3].Power, hosts[6].Power = 800, 800
+	hosts[3].Blind = true
+	assert.Equal(t, "host-006", New(hosts[0]).Source(epoch, hosts))
+	for i := range hosts {
+		hosts[i].Blind = true
+	}
+	assert.Contains(t, []string{"host-003", "host-006"}, New(hosts[0]).Source(epoch, hosts), "somebody tells when the log is back")
+}
+
+func TestASourceThatFailedIsPassedOverForAWhile(t *testing.T) {
+	hosts := fleet(12)
+	self := hosts[0]
+	first := New(self).Source(epoch, hosts)
+	for first == "" { // the own host must not be the first one
+		self = hosts[3]
+		first = New(self).Source(epoch, hosts)
+	}
+	d := New(self)
+	d.Failed(epoch, first)
+	assert.NotEqual(t, first, d.Source(epoch, hosts))
+	assert.Equal(t, first, d.Source(epoch.Add(rest), hosts))
+}
+
+func TestAHostThatOthersAskReadsTheLogItself(t *testing.T) {
+	hosts := fleet(12)
+	for _, h := range hosts {
+		d := New(h)
+		d.Asked(epoch)
+		assert.Empty(t, d.Source(epoch.Add(askedFor-1), hosts))
+	}
+}
+
+func TestAHostWithoutOthersInItsDataCentreReadsTheLogItself(t *testing.T) {
+	hosts := fleet(3)
+	assert.Empty(t, New(hosts[1]).Source(epoch, hosts))
+	assert.Empty(t, New(hosts[1]).Source(epoch, nil))
+}
+
+func tries(d *Delegator, isAsked bool) int {
+	n := 0
+	d.Lost(epoch)
+	for now := epoch; now.Before(epoch.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
+		if isAsked {
+			d.Asked(now)
+		}
+		if d.IsProbeDue(now) {
+			d.Lost(now)
+			n++
+		}
+	}
+	return n
+}
+
+func TestAnOutageIsTriedLessAndLessOftenButByThoseWhoAreAsked(t *testing.T) {
+	assert.LessOrEqual(t, tries(New(Host{Name: "a"}), false), 10)
+	assert.GreaterOrEqual(t, tries(New(Host{Name: "a"}), true), 50)
+	d := New(Host{Name: "a"})
+	assert.True(t, d.MayTry(epoch))
+	assert.False(t, d.IsProbeDue(epoch))
+	d.Lost(epoch)
+	assert.False(t, d.MayTry(epoch))
+	d.Reached()
+	assert.True(t, d.MayTry(epoch))
+}
+
+func TestAHostThatDoesNotReachTheLogFollowsAnotherOne(t *testing.T) {
+	hosts := fleet(12)
+	for _, h := range hosts {
+		d := New(h)
+		d.Asked(epoch)
+		d.Lost(epoch)
+		assert.NotEmpty(t, d.Source(epoch, hosts))
+		d.Reached()
+		assert.Empty(t, d.Source(epoch, hosts), "it is asked, and reads")
+	}
+}
--- /dev/null
+++ b/parts/state/replicator/replicator_test.go
@@ -0,0 +1,187 @@
+package replicator
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// always takes every record for news; byFirst only one whose first byte differs.
+func always(string, []byte, []byte) bool { return true }
+
+func byFirst(_ string, old, value []byte) bool { return old[0] != value[0] }
+
+func keys(records []Record) []string {
+	var list []string
+	for _, r := range records {
+		list = append(list, r.Key)
+	}
+	return list
+}
+
+func TestChangesAreToldFromAnOffsetOnInTheirOrder(t *testing.T) {
+	r := New(always)
+	_, _, ok := r.Since(0)
+	assert.False(t, ok, "nothing is known yet")
+	r.List([]Record{{Key: "a", Value: []byte("1"), Offset: 3}, {Key: "b", Value: []byte("1"), Offset: 1}}, 4)
+	r.Take([]Record{{Key: "c", Value: []byte("1"), Offset: 4}, {Key: "a", Offset: 5}, {Key: "b", Value: []byte("2"), Offset: 6}}, 9)
+	changes, next, ok := r.Since(4)
+	require.True(t, ok)
+	assert.Equal(t, []string{"c", "a", "b"}, keys(changes))
+	assert.EqualValues(t, 9, next)
+	changes, _, _ = r.Since(6)
+	assert.Equal(t, []string{"b"}, keys(changes))
+	_, _, ok = r.Since(3)
+	assert.False(t, ok, "what was removed before the listing is not known")
+}
+
+func TestARecordThatSaysNothingNewIsNotTold(t *testing.T) {
+	r := New(byFirst)
+	r.List([]Record{{Key: "a", Value: []byte("x1"), Offset: 0}}, 1)
+	r.Take([]Record{{Key: "a", Value: []byte("x2"), Offset: 1}}, 2)
+	changes, next, ok := r.Since(1)
+	assert.True(t, ok)
+	assert.Empty(t, changes)
+	assert.EqualValues(t, 2, next, "the follower goes on behind it all the same")
+	r.Take([]Record{{Key: "a", Value: []byte("y2"), Offset: 2}}, 3)
+	changes, _, _ = r.Since(1)
+	assert.Len(t, changes, 1)
+}
+
+func TestAKeyThatCameBackIsNotToldAsRemoved(t *testing.T) {
+	r := New(always)
+	r.List([]Record{{Key: "a", Value: []byte("1"), Offset: 0}}, 1)
+	r.Take([]Record{{Key: "a", Offset: 1}, {Key: "a", Value: []byte("2"), Offset: 2}}, 3)
+	changes, _, _ := r.Since(1)
+	require.Len(t, changes, 1)
+	assert.Equal(t, "2", string(changes[0].Value))
+}
+
+func TestAFollowerBehindTheRememberedRemovalsReadsAnew(t *testing.T) {
+	r := New(always)
+	r.List(nil, 0)
+	for i := range uint64(maxRemoved + 1) {
+		key := fmt.Sprint(i)
+		r.Take([]Record{{Key: key, Value: []byte("1"), Offset: 2 * i}, {Key: key, Offset: 2*i + 1}}, 2*i+2)
+	}
+	_, _, ok := r.Since(1)
+	assert.False(t, ok)
+	_, _, ok = r.Since(2)
+	assert.True(t, ok)
+}
+
+func TestAChangeWakesThoseWhoWaitAndAHeartbeatDoesNot(t *testing.T) {
+	r := New(byFirst)
+	r.List([]Record{{Key: "a", Value: []byte("x1"), Offset: 0}}, 1)
+	changed := r.Changed()
+	r.Take([]Record{{Key: "a", Value: []byte("x2"), Offset: 1}}, 2)
+	select {
+	case <-changed:
+		assert.Fail(t, "woken for nothing")
+	default:
+	}
+	r.Take([]Record{{Key: "a", Offset: 2}}, 3)
+	<-changed
+}
+
+// A follower that goes from one replica to another, and to the log itself, ends with what the log holds.
+func TestAFollowerOfChangingReplicasHoldsWhatTheLogHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []Record
+		replicas := []*Replica{New(always), New(always), New(always)}
+		read := make([]int, len(replicas))
+		state, from, listed := make(map[string][]byte), uint64(0), false
+		apply := func(records []Record) {
+			for _, r := range records {
+				if state[r.Key] = r.Value; len(r.Value) == 0 {
+					delete(state, r.Key)
+				}
+			}
+		}
+		whole := func(upto int) []Record {
+			newest := make(map[string]Record)
+			for _, r := range log[:upto] {
+				if newest[r.Key] = r; len(r.Value) == 0 {
+					delete(newest, r.Key)
+				}
+			}
+			var list []Record
+			for _, r := range newest {
+				list = append(list, r)
+			}
+			return list
+		}
+		follow := func(i int) {
+			r := replicas[i]
+			if changes, next, ok := r.Since(from); ok && listed {
+				apply(changes)
+				from = next
+				return
+			}
+			if r.IsListed() {
+				clear(state)
+				records, next := r.All()
+				apply(records)
+				from, listed = next, true
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(replicas)-1).Draw(t, "replica")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				r := Record{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Offset: uint64(len(log))}
+				if rapid.Bool().Draw(t, "put") {
+					r.Value = []byte(fmt.Sprint(len(log)))
+				}
+				log = append(log, r)
+			case 2:
+				replicas[i].List(whole(len(log)), uint64(len(log)))
+				read[i] = len(log)
+			case 3:
+				if replicas[i].IsListed() {
+					replicas[i].Take(log[read[i]:], uint64(len(log)))
+					read[i] = len(log)
+				}
+			case 4:
+				follow(i)
+			}
+		}
+		replicas[0].List(whole(len(log)), uint64(len(log)))
+		follow(0)
+		follow(0)
+		want := make(map[string][]byte)
+		for _, r := range whole(len(log)) {
+			want[r.Key] = r.Value
+		}
+		if len(state) != len(want) {
+			t.Fatalf("follower has %v, the log %v", state, want)
+		}
+		for k, v := range want {
+			if !bytes.Equal(state[k], v) {
+				t.Fatalf("follower has %q for %s, the log %q", state[k], k, v)
+			}
+		}
+	})
+}
+
+// A listing may have missed a key that was removed between two of its pages, or this replica may have taken both records
+// in one.
+func TestTheRemovalOfAnUnknownKeyIsToldToThoseWhoKnowIt(t *testing.T) {
+	r := New(always)
+	r.List(nil, 1)
+	r.Take([]Record{{Key: "a", Offset: 1}}, 2)
+	changes, _, ok := r.Since(1)
+	require.True(t, ok)
+	assert.Equal(t, []string{"a"}, keys(changes))
+}
+
+func TestAListingIsWholeOnlyUpToTheEndThatItsFirstPageTold(t *testing.T) {
+	r := New(always)
+	r.List([]Record{{Key: "a", Value: []byte("1"), Offset: 7}}, 4)
+	_, next := r.All()
+	assert.EqualValues(t, 4, next)
+}
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/hosts/gossiper"
 	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
 	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/relayer"
 	"github.com/hornbeamspan/hornbeamspan/transport/meter"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/configurer"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/introducer"
@@ -133,14 +135,18 @@
 	endpoints *enlister.Enlister
 	places    *dispatcher.Dispatcher
 	sender    *sender.Sender
-	router    *router.Router
-	listeners []*listener.Listener
-	front     *listener.Listener
-	draining  atomic.Bool
-	mostHosts atomic.Int64
-	stop      context.CancelFunc
-	wait      sync.WaitGroup
-	done      chan struct{}
+	relay     *relayer.Relayer
+	// configTopic and endpointTopic are the log as it is read here, often through another host.
+	configTopic   *relayer.Topic
+	endpointTopic *relayer.Topic
+	router        *router.Router
+	listeners     []*listener.Listener
+	front         *listener.Listener
+	draining      atomic.Bool
+	mostHosts     atomic.Int64
+	stop          context.CancelFunc
+	wait          sync.WaitGroup
+	done          chan struct{}
 }
 
 // StartRouting builds the parts, listens and runs.
@@ -162,10 +168,17 @@
 			Period: routingPeriod, AnswerTimeout: time.Duration(answerTimeout * float64(routingPeriod)),
 			SuspicionTimeout: cfg.ContactTime, Retention: retention, Updates: updates,
 		},
-		IsBlind:   func() bool { return h.endpoints.LostFor() > blindAfter },
+		IsBlind:   func() bool { return max(h.endpoints.LostFor(), h.relay.LostFor()) > blindAfter },
 		Messenger: h.messenger, Rules: h.config, Random: h.random("heartbeats", incarnation),
 		Clock: clock, Logs: logs,
 	})
+	h.relay = relayer.New(relayer.Options{
+		Log: cfg.Store, Hosts: h.gossiper, Messenger: h.messenger, ApplyTime: cfg.ApplyTime,
+		HasSeeds: slices.ContainsFunc(cfg.Seeds, func(a netip.AddrPort) bool { return a != cfg.Peers }),
+		Clock:    clock, Logs: logs, Scope: h.meter.Scope,
+	})
+	h.configTopic = h.relay.Topic(cfg.Topics.Config, func(string, []byte, []byte) bool { return true })
+	h.endpointTopic = h.relay.Topic(cfg.Topics.Endpoints, h.isNews)
 	isolate := isolator.New(isolator.Options{
 		Deaths: endpointsLost, Keep: suspicionAge, Hosts: h.gossiper, Messenger: h.messenger, Clock: clock, Logs: logs,
 	})
@@ -215,6 +228,14 @@
 	return true
 }
 
+// isNews tells whether an endpoint's announcement says more than that it is still there.
+func (h *RoutingHost) isNews(id string, old, value []byte) bool {
+	before, errBefore := h.cfg.DecodeEndpoint(id, old)
+	now, err := h.cfg.DecodeEndpoint(id, value)
+	before.Sequence = now.Sequence
+	return errBefore != nil || err != nil || before != now
+}
+
 // describe returns what the configuration in force says of a service.
 func (h *RoutingHost) describe(name string) (matcher.Service, bool) {
 	t := h.router.Table()
@@ -297,12 +318,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	config := tailer.New(tailer.Options{
-		Log: h.cfg.Store, Topic: h.cfg.Topics.Config, Sink: h.config, Wait: configWait, Clock: h.clock, Logs: h.logs,
+		Log: h.configTopic, Topic: h.cfg.Topics.Config, Sink: h.config, Wait: configWait, Clock: h.clock, Logs: h.logs,
 	})
-	pause := h.cfg.ApplyTime / 2
 	endpoints := tailer.New(tailer.Options{
-		Log: h.cfg.Store, Topic: h.cfg.Topics.Endpoints, Sink: h.endpoints, Wait: pause, Pause: pause,
-		Clock: h.clock, Logs: h.logs,
+		Log: h.endpointTopic, Topic: h.cfg.Topics.Endpoints, Sink: h.endpoints, Clock: h.clock, Logs: h.logs,
 	})
 	introducing := introducer.New(introducer.Options{
 		Topic: h.cfg.Topics.Hosts, Host: h.cfg.Name, Address: h.cfg.Peers, Store: h.cfg.Store, Hosts: h.gossiper,
--- a/transport/endpoints/dispatcher/orders.go
+++ b/transport/endpoints/dispatcher/orders.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	helpers := d.helpers()
-	if d.Endpoints.LostFor() == 0 || len(helpers) == 0 {
+	if !d.Hosts.Self().Blind || len(helpers) == 0 {
 		err = d.Orders.Order(ctx, e, stage, load.Orders)
 		if err == nil || !mayHelp(err) {
 			return err
--- a/transport/store/tailer/tailer.go
+++ b/transport/store/tailer/tailer.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/hornbeamspan/hornbeamspan/parts/state/replicator"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 )
 
@@ -19,11 +20,7 @@
 )
 
 // Record is one record of a keyed topic. An empty Value removes the key.
-type Record struct {
-	Key    string
-	Value  []byte
-	Offset uint64
-}
+type Record = replicator.Record
 
 // Page is a part of the newest records of all keys. Pages are not a snapshot.
 type Page struct {
@@ -37,8 +34,9 @@
 type Log interface {
 	// Newest returns the newest record of each key after the key after.
 	Newest(ctx context.Context, topic, after string) (Page, error)
-	// Read returns the records from an offset on as soon as there are any, or none after wait.
-	Read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]Record, error)
+	// Read returns the records from an offset on as soon as there are any, or none after wait, and the offset to go on
+	// from.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (records []Record, next uint64, err error)
 }
 
 // ExpiredError reports that records were deleted before they were read.
@@ -118,14 +116,14 @@
 	if !t.listed {
 		return t.list(ctx)
 	}
-	records, err := t.options.Log.Read(ctx, t.options.Topic, t.from, t.options.Wait)
+	records, next, err := t.options.Log.Read(ctx, t.options.Topic, t.from, t.options.Wait)
 	if err != nil {
 		return err
 	}
 	for _, r := range records {
 		t.options.Sink.Record(r)
-		t.from = r.Offset + 1
 	}
+	t.from = next
 	return nil
 }
 
