Fewer calls to the log at starts and in outages: few introducers, a host waits for a source, two lost sources are an outage

Change: only the first five hosts by hash, and those who have met nobody, write where they can be reached; a new host waits up to 400 ms until it has a source or is asked itself; a follower passes over two sources that do not reach the log and then takes that for an outage, in which it tries the log after 4 s, later after 16 s, while hosts that are asked try it every second.

--- a/parts/coordination/delegator/delegator.go
+++ b/parts/coordination/delegator/delegator.go
@@ -20,9 +20,12 @@
 	// weakest is the part of the strongest candidate's processor share that a reader must have.
 	weakest = 0.5
 	// firstRetry and lastRetry bound the time between two tries of a log that is out of reach. It doubles from one to the
-	// other.
-	firstRetry = time.Second
-	lastRetry  = 8 * time.Second
+	// other: hundreds of hosts that try would only add to an outage.
+	firstRetry = 4 * time.Second
+	lastRetry  = 16 * time.Second
+	// maxLost is how many sources that do not reach the log are passed over at a time. If one more does not, the log is
+	// most likely out of reach of all.
+	maxLost = 2
 	// askedRetry is that time for a host that others ask: it tells them when the log is back.
 	askedRetry = time.Second
 )
@@ -41,7 +44,9 @@
 type Delegator struct {
 	self    Host
 	resting map[string]time.Time
-	asked   time.Time
+	// blind are those of the resting that did not reach the log.
+	blind map[string]bool
+	asked time.Time
 	// lost is set while the log is out of reach of this host; retryAt and retry are when it is tried next, and the time
 	// after that.
 	lost    bool
@@ -51,7 +56,7 @@
 
 // New returns the Delegator of a host.
 func New(self Host) *Delegator {
-	return &Delegator{self: self, resting: make(map[string]time.Time)}
+	return &Delegator{self: self, resting: make(map[string]time.Time), blind: make(map[string]bool)}
 }
 
 // Asked takes in that another host asks for changes.
@@ -60,15 +65,30 @@
 // Failed takes in that a source did not answer, or knew only what is too old.
 func (d *Delegator) Failed(now time.Time, source string) { d.resting[source] = now.Add(rest) }
 
+// SourceLost takes in that a source does not reach the log. It returns false if too many others do not either: then the
+// source is kept, and the log itself is tried after a while.
+func (d *Delegator) SourceLost(now time.Time, source string) bool {
+	if len(d.blind) >= maxLost {
+		if d.retryAt.IsZero() {
+			d.retryAt = now.Add(firstRetry)
+		}
+		return false
+	}
+	d.blind[source] = true
+	d.Failed(now, source)
+	return true
+}
+
 // Source returns the host to take changes from, "" for the log itself. A host that does not reach the log takes them from
 // another one, if there is any.
 func (d *Delegator) Source(now time.Time, hosts []Host) string {
-	if d.isAsked(now) && !d.lost {
+	if d.IsAsked(now) && !d.lost {
 		return ""
 	}
 	for name, until := range d.resting {
 		if !now.Before(until) {
 			delete(d.resting, name)
+			delete(d.blind, name)
 		}
 	}
 	source := ranker.Home("log/"+d.self.DataCentre, d.candidates(hosts))
@@ -78,7 +98,8 @@
 	return source
 }
 
-func (d *Delegator) isAsked(now time.Time) bool {
+// IsAsked tells whether other hosts take changes from this one.
+func (d *Delegator) IsAsked(now time.Time) bool {
 	return !d.asked.IsZero() && now.Sub(d.asked) < askedFor
 }
 
@@ -115,7 +136,7 @@
 func (d *Delegator) Lost(now time.Time) {
 	d.lost = true
 	most := lastRetry
-	if d.isAsked(now) {
+	if d.IsAsked(now) {
 		most = askedRetry
 	}
 	d.retry = min(max(2*d.retry, firstRetry), most)
@@ -125,8 +146,8 @@
 // Reached takes in that the log answers.
 func (d *Delegator) Reached() { d.lost, d.retry, d.retryAt = false, 0, time.Time{} }
 
-// MayTry tells whether the log is worth a try by a host that has a source: not while it is known to be out of reach.
-func (d *Delegator) MayTry(now time.Time) bool { return !d.lost || !now.Before(d.retryAt) }
+// MayTry tells whether the log is worth a try by a host that has a source: not while it is thought to be out of reach.
+func (d *Delegator) MayTry(now time.Time) bool { return !now.Before(d.retryAt) }
 
 // IsProbeDue tells whether the log, which was out of reach, is to be tried again.
 func (d *Delegator) IsProbeDue(now time.Time) bool { return d.lost && !now.Before(d.retryAt) }
--- a/parts/coordination/delegator/delegator_test.go
+++ b/parts/coordination/delegator/delegator_test.go
@@ -114,3 +114,28 @@
 		assert.Empty(t, d.Source(epoch, hosts), "it is asked, and reads")
 	}
 }
+
+func TestAFollowerPassesOverFewSourcesThatDoNotReachTheLogBeforeItTakesItForAnOutage(t *testing.T) {
+	hosts := fleet(60)
+	tested := 0
+	for _, self := range hosts {
+		d := New(self)
+		var sources []string
+		for range maxLost + 1 {
+			source := d.Source(epoch, hosts)
+			if source == "" {
+				break // one of the first by hash: it reads the log itself
+			}
+			sources = append(sources, source)
+			assert.Equal(t, len(sources) <= maxLost, d.SourceLost(epoch, source))
+		}
+		if len(sources) <= maxLost {
+			continue
+		}
+		tested++
+		assert.Equal(t, sources[maxLost], d.Source(epoch, hosts), "it tells when the log is back")
+		assert.False(t, d.MayTry(epoch), "not at once, as all others would")
+		assert.True(t, d.MayTry(epoch.Add(firstRetry)))
+	}
+	assert.Greater(t, tested, len(hosts)/2)
+}
--- a/transport/hosts/relayer/relayer.go
+++ b/transport/hosts/relayer/relayer.go
@@ -33,7 +33,7 @@
 	slackShare = 0.125
 )
 
-// joinTime is how long a new host waits to meet others before it lists the log itself.
+// joinTime is how long a new host waits for another one to list the log through before it lists the log itself.
 const joinTime = 400 * time.Millisecond
 
 // joinPoll is the time between two looks at the hosts that are known.
@@ -159,6 +159,20 @@
 	eventer.Warn(r.options.Logs, eventer.SourceFailed, "source", s.name, "reason", reason)
 }
 
+// sourceLost takes in that a source does not reach the log, and tells whether another one is to be asked.
+func (r *Relayer) sourceLost(s source) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.delegator.SourceLost(r.options.Clock.Now(), s.name) {
+		return false
+	}
+	if r.source.name == s.name {
+		s.cancel()
+	}
+	eventer.Warn(r.options.Logs, eventer.SourceFailed, "source", s.name, "reason", "it does not reach the log")
+	return true
+}
+
 // noteRead takes in how a read of the log that began at a time has ended.
 func (r *Relayer) noteRead(begun time.Time, err error) {
 	r.mu.Lock()
@@ -214,13 +228,22 @@
 	return isNew
 }
 
-// await waits until another host was met, or for joinTime after the start.
+// await waits until there is another host to ask, or another one asks, or for joinTime after the start.
 func (r *Relayer) await(ctx context.Context) {
 	clock := r.options.Clock
-	for r.options.HasSeeds && ctx.Err() == nil && len(r.options.Hosts.Serving()) < 2 && clock.Since(r.begun) < joinTime {
+	for r.options.HasSeeds && ctx.Err() == nil && clock.Since(r.begun) < joinTime {
+		if r.choose().name != "" || r.isAsked() {
+			return
+		}
 		select {
 		case <-ctx.Done():
 		case <-clock.After(joinPoll):
 		}
 	}
 }
+
+func (r *Relayer) isAsked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delegator.IsAsked(r.options.Clock.Now())
+}
--- a/transport/hosts/relayer/topic.go
+++ b/transport/hosts/relayer/topic.go
@@ -123,7 +123,7 @@
 		return records, next, nil
 	case errors.As(err, &expired) || ctx.Err() != nil:
 		return nil, 0, err
-	case errors.As(err, &lost) && (lost.New || !r.mayTry()):
+	case errors.As(err, &lost) && (lost.New || r.sourceLost(s) || !r.mayTry()):
 		return nil, 0, err
 	}
 	records, next, logErr := t.readLog(ctx, topic, from, 0)
--- a/transport/store/introducer/introducer.go
+++ b/transport/store/introducer/introducer.go
@@ -5,11 +5,14 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
@@ -17,8 +20,8 @@
 const (
 	// lookAfter is how long seeds are tried alone, and the time between two looks at the log.
 	lookAfter = 2 * time.Second
-	// retryPause is the time before another try to write the own entry.
-	retryPause = time.Second
+	// introducers is the number of hosts that can be found in the log: a host that finds one has found all.
+	introducers = 5
 	// callTimeout bounds one call to the log.
 	callTimeout = 2 * time.Second
 )
@@ -33,6 +36,8 @@
 type Hosts interface {
 	// Met returns the number of other hosts that were ever met.
 	Met() int
+	// Serving returns the hosts that are in touch, the own one included.
+	Serving() []tracker.Member
 	// AddSeeds adds addresses to try.
 	AddSeeds(seeds []netip.AddrPort)
 }
@@ -65,17 +70,31 @@
 	Address netip.AddrPort `json:"address"`
 }
 
-// Run writes the own entry, then looks for others until one was met or ctx ends.
+// Run writes the own entry if this host is one of those to be found, and looks for others until one was met, until ctx
+// ends.
 func (i *Introducer) Run(ctx context.Context) {
 	defer close(i.done)
-	for i.write(ctx) != nil {
-		if !i.sleep(ctx, retryPause) {
-			return
+	isWritten := false
+	for i.sleep(ctx, lookAfter) {
+		isAlone := i.options.Hosts.Met() == 0
+		if !isWritten && (isAlone || i.isIntroducer()) {
+			isWritten = i.write(ctx) == nil
+		}
+		if isAlone {
+			i.look(ctx)
 		}
 	}
-	for i.sleep(ctx, lookAfter) && i.options.Hosts.Met() == 0 {
-		i.look(ctx)
+}
+
+// isIntroducer tells whether this host is one of those that others find in the log: the first ones by hash, so that
+// hundreds of hosts that start write a few entries.
+func (i *Introducer) isIntroducer() bool {
+	var names []string
+	for _, m := range i.options.Hosts.Serving() {
+		names = append(names, m.Name)
 	}
+	ranked := ranker.Rank("introducers", names)
+	return slices.Contains(ranked[:min(introducers, len(ranked))], i.options.Host)
 }
 
 func (i *Introducer) sleep(ctx context.Context, d time.Duration) bool {
