--- a/lab/platformer/store.go
+++ b/lab/platformer/store.go
@@ -102,6 +102,7 @@
 		case Broken:
 			panic(http.ErrAbortHandler)
 		case Silent:
+			_, _ = io.Copy(io.Discard, r.Body) // with a body unread the server does not notice that the caller is gone
 			<-r.Context().Done()
 		default:
 			s.handler.ServeHTTP(w, r)
