--- a/parts/coordination/delegator/delegator.go
+++ b/parts/coordination/delegator/delegator.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// rest is how long a source that failed is passed over.
-	rest = 5 * time.Second
+	// cooldown is how long a source that failed is passed over.
+	cooldown = 5 * time.Second
 	// askedFor is how long a host goes on reading the log after others have asked it for changes. They ask several times
 	// a second.
 	askedFor = 3 * time.Second
@@ -34,8 +34,8 @@
 type Host struct {
 	Name       string
 	DataCentre string
-	// Blind hosts do not reach the log.
-	Blind bool
+	// Disconnected hosts do not reach the log.
+	Disconnected bool
 	// Power is the processor share.
 	Power int
 }
@@ -43,10 +43,10 @@
 // Delegator is the choice of one host. It is not safe for concurrent use.
 type Delegator struct {
 	self    Host
-	resting map[string]time.Time
-	// blind are those of the resting that did not reach the log.
-	blind map[string]bool
-	asked time.Time
+	cooling map[string]time.Time
+	// disconnected are those of the cooling that did not reach the log.
+	disconnected map[string]bool
+	asked        time.Time
 	// lost is set while the log is out of reach of this host; retryAt and retry are when it is tried next, and the time
 	// after that.
 	lost    bool
@@ -56,25 +56,25 @@
 
 // New returns the Delegator of a host.
 func New(self Host) *Delegator {
-	return &Delegator{self: self, resting: make(map[string]time.Time), blind: make(map[string]bool)}
+	return &Delegator{self: self, cooling: make(map[string]time.Time), disconnected: make(map[string]bool)}
 }
 
 // Asked takes in that another host asks for changes.
 func (d *Delegator) Asked(now time.Time) { d.asked = now }
 
 // Failed takes in that a source did not answer, or knew only what is too old.
-func (d *Delegator) Failed(now time.Time, source string) { d.resting[source] = now.Add(rest) }
+func (d *Delegator) Failed(now time.Time, source string) { d.cooling[source] = now.Add(cooldown) }
 
 // SourceLost takes in that a source does not reach the log. It returns false if too many others do not either: then the
 // source is kept, and the log itself is tried after a while.
 func (d *Delegator) SourceLost(now time.Time, source string) bool {
-	if len(d.blind) >= maxLost {
+	if len(d.disconnected) >= maxLost {
 		if d.retryAt.IsZero() {
 			d.retryAt = now.Add(firstRetry)
 		}
 		return false
 	}
-	d.blind[source] = true
+	d.disconnected[source] = true
 	d.Failed(now, source)
 	return true
 }
@@ -85,10 +85,10 @@
 	if d.IsAsked(now) && !d.lost {
 		return ""
 	}
-	for name, until := range d.resting {
+	for name, until := range d.cooling {
 		if !now.Before(until) {
-			delete(d.resting, name)
-			delete(d.blind, name)
+			delete(d.cooling, name)
+			delete(d.disconnected, name)
 		}
 	}
 	source := ranker.Home("log/"+d.self.DataCentre, d.candidates(hosts))
@@ -107,25 +107,25 @@
 // the log is back.
 func (d *Delegator) candidates(hosts []Host) []string {
 	var near []Host
-	seeing := 0
+	connected := 0
 	for _, h := range hosts {
-		_, isResting := d.resting[h.Name]
-		if h.DataCentre == d.self.DataCentre && !isResting && (!d.lost || h.Name != d.self.Name) {
+		_, isCooling := d.cooling[h.Name]
+		if h.DataCentre == d.self.DataCentre && !isCooling && (!d.lost || h.Name != d.self.Name) {
 			near = append(near, h)
-			if !h.Blind {
-				seeing++
+			if !h.Disconnected {
+				connected++
 			}
 		}
 	}
 	most := 0
 	for _, h := range near {
-		if !h.Blind || seeing == 0 {
+		if !h.Disconnected || connected == 0 {
 			most = max(most, h.Power)
 		}
 	}
 	var names []string
 	for _, h := range near {
-		if (!h.Blind || seeing == 0) && float64(h.Power) >= weakest*float64(most) {
+		if (!h.Disconnected || connected == 0) && float64(h.Power) >= weakest*float64(most) {
 			names = append(names, h.Name)
 		}
 	}
--- a/parts/coordination/delegator/delegator_test.go
+++ b/parts/coordination/delegator/delegator_test.go
@@ -39,10 +39,10 @@
 func TestStrongHostsThatReachTheLogReadFirst(t *testing.T) {
 	hosts := fleet(30)
 	hosts[3].Power, hosts[6].Power = 800, 800
-	hosts[3].Blind = true
+	hosts[3].Disconnected = true
 	assert.Equal(t, "host-006", New(hosts[0]).Source(epoch, hosts))
 	for i := range hosts {
-		hosts[i].Blind = true
+		hosts[i].Disconnected = true
 	}
 	assert.Contains(t, []string{"host-003", "host-006"}, New(hosts[0]).Source(epoch, hosts), "somebody tells when the log is back")
 }
@@ -58,7 +58,7 @@
 	d := New(self)
 	d.Failed(epoch, first)
 	assert.NotEqual(t, first, d.Source(epoch, hosts))
-	assert.Equal(t, first, d.Source(epoch.Add(rest), hosts))
+	assert.Equal(t, first, d.Source(epoch.Add(cooldown), hosts))
 }
 
 func TestAHostThatOthersAskReadsTheLogItself(t *testing.T) {
