Tell each topic of an outage of its source

Cause: found on reading: the count of the source's outages was one for all topics, so the one that asked first took the news, and the other could take what lapsed in a short outage for a loss in calm times. Change: each topic keeps the count it was told last. Leaving a source is one function now, and is always counted. Test: TestEachTopicIsToldOfAnOutage (with the shared count the second topic is not told).

--- a/transport/hosts/relayer/relayer.go
+++ b/transport/hosts/relayer/relayer.go
@@ -80,9 +80,6 @@
 	// ctx ends when another source is chosen.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// outages is how often the source had lost the log when it last answered.
-	outages int
-	known   bool
 }
 
 // New returns a Relayer and takes the kind of messages that it answers. Topics are added before the first message.
@@ -147,16 +144,12 @@
 	return name
 }
 
-// fail passes a source over for a while, and ends what is asked of it.
+// fail passes a source over for a while.
 func (r *Relayer) fail(s source, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.delegator.Failed(r.options.Clock.Now(), s.name)
-	if r.source.name == s.name {
-		s.cancel()
-	}
-	r.options.Scope.Counter("log_source_failures").Inc(1)
-	eventer.Warn(r.options.Logs, eventer.SourceFailed, "source", s.name, "reason", reason)
+	r.leave(s, reason)
 }
 
 // sourceLost takes in that a source does not reach the log, and tells whether another one is to be asked.
@@ -166,11 +159,17 @@
 	if !r.delegator.SourceLost(r.options.Clock.Now(), s.name) {
 		return false
 	}
+	r.leave(s, "it does not reach the log")
+	return true
+}
+
+// leave ends what is asked of a source. The caller holds mu.
+func (r *Relayer) leave(s source, reason string) {
 	if r.source.name == s.name {
 		s.cancel()
 	}
-	eventer.Warn(r.options.Logs, eventer.SourceFailed, "source", s.name, "reason", "it does not reach the log")
-	return true
+	r.options.Scope.Counter("log_source_failures").Inc(1)
+	eventer.Warn(r.options.Logs, eventer.SourceFailed, "source", s.name, "reason", reason)
 }
 
 // noteRead takes in how a read of the log that began at a time has ended.
@@ -216,18 +215,6 @@
 	return r.delegator.IsProbeDue(r.options.Clock.Now())
 }
 
-// isNewOutage tells whether a source has lost the log since it answered last.
-func (r *Relayer) isNewOutage(s source, outages int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.source.name != s.name {
-		return false
-	}
-	isNew := r.source.known && outages != r.source.outages
-	r.source.known, r.source.outages = true, outages
-	return isNew
-}
-
 // await waits until there is another host to ask, or another one asks, or for joinTime after the start.
 func (r *Relayer) await(ctx context.Context) {
 	clock := r.options.Clock
--- a/transport/hosts/relayer/relayer_test.go
+++ b/transport/hosts/relayer/relayer_test.go
@@ -450,3 +450,20 @@
 		assert.Contains(t, names, name)
 	}
 }
+
+// Whichever topic hears of an outage first, the other one must hear of it, too: what lapsed there lapsed in the outage.
+func TestEachTopicIsToldOfAnOutage(t *testing.T) {
+	r := New(Options{
+		Hosts: seen{hosts: &hosts{}}, Messenger: messenger.New("key", hclog.NewNullLogger(), tally.NoopScope),
+		ApplyTime: applyTime, Clock: clockwork.NewRealClock(), Logs: hclog.NewNullLogger(), Scope: tally.NoopScope,
+	})
+	from := source{name: "reader"}
+	for _, name := range []string{"config", "endpoints"} {
+		r.Topic(name, nil)
+		assert.False(t, r.topics[name].isNewOutage(from, 3), "the first answer tells nothing")
+	}
+	for _, topic := range r.topics {
+		assert.True(t, topic.isNewOutage(from, 4))
+		assert.False(t, topic.isNewOutage(from, 4))
+	}
+}
--- a/transport/hosts/relayer/topic.go
+++ b/transport/hosts/relayer/topic.go
@@ -52,6 +52,9 @@
 	// listing are the records of a listing under way, and its end.
 	listing []tailer.Record
 	end     uint64
+	// answered is the source that answered last, and outages how often it had lost the log by then.
+	answered string
+	outages  int
 }
 
 var _ tailer.Log = (*Topic)(nil)
@@ -179,7 +182,7 @@
 	}
 	age := time.Duration(answer.Age) * time.Millisecond
 	switch {
-	case r.isNewOutage(s, answer.Outages):
+	case t.isNewOutage(s, answer.Outages):
 		return nil, 0, &LostError{Source: s.name, New: true}
 	case answer.Lost:
 		return nil, 0, &LostError{Source: s.name}
@@ -197,6 +200,13 @@
 	return records, answer.Next, nil
 }
 
+// isNewOutage tells whether a source has lost the log since it answered last.
+func (t *Topic) isNewOutage(s source, outages int) bool {
+	isNew := t.answered == s.name && outages != t.outages
+	t.answered, t.outages = s.name, outages
+	return isNew
+}
+
 // answer tells another host what this one has read.
 func (r *Relayer) answer(ctx context.Context, w wire.LogAsk) (wire.LogAnswer, error) {
 	t := r.topics[w.Topic]
