Ask for the paused engines once a question; one test for a refused send; drop the tailer's pause

A question for a place asked the list of endpoints twice for those that want a pause, a lock an engine each time; whether a send was turned away stood twice; nothing set the tailer's pause between calls since the log is paced where it is read. Behaviour as before. Tests of the daemon, platform and transport, and lint, green.

--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -135,7 +135,7 @@
 	if !errors.As(err, &failed) || ctx.Err() != nil {
 		return settled, err
 	}
-	if failed.Outcome == sender.NotRun || failed.Wait > 0 {
+	if failed.IsRefused() {
 		x.tell(j, dispatcher.Progress{Step: dispatcher.Refused, Engine: p.Engine.ID})
 	} else {
 		x.tell(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: p.Engine.ID})
@@ -223,7 +223,7 @@
 // notRead reports a prompt that was not read. Of the sends that ask for reading only the first accepted one is free.
 func (x *Router) notRead(j *job, e *enlister.Endpoint, err error) {
 	var failed *sender.SendError
-	if !errors.As(err, &failed) || (failed.Outcome != sender.NotRun && failed.Wait == 0) {
+	if !errors.As(err, &failed) || !failed.IsRefused() {
 		x.tell(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: e.ID})
 		return
 	}
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -263,8 +263,9 @@
 func (d *Dispatcher) Place(ctx context.Context, a Ask) (Place, error) {
 	patience := minPatience
 	for {
-		if refused := d.refusedByAll(a.Service); refused != nil {
-			return Place{}, refused
+		var ends time.Time
+		if a.Avoid, ends = d.Endpoints.Paused(a.Service); d.isRefusedByAll(a) {
+			return Place{}, &RefusedError{Reason: "every engine asks for a pause", Wait: ends.Sub(d.Clock.Now())}
 		}
 		answer, err := d.ask(ctx, a, patience)
 		if ctx.Err() != nil {
@@ -291,18 +292,14 @@
 	}
 }
 
-// refusedByAll returns a refusal if every engine that generates wants nothing from this host.
-func (d *Dispatcher) refusedByAll(service string) error {
-	paused, ends := d.Endpoints.Paused(service)
-	if len(paused) == 0 {
-		return nil
-	}
-	for _, e := range d.Endpoints.Service(service) {
-		if e.Stage != enroller.Prefill && !slices.Contains(paused, e.ID) {
-			return nil
-		}
+// isRefusedByAll tells whether every engine that generates wants nothing from this host.
+func (d *Dispatcher) isRefusedByAll(a Ask) bool {
+	if len(a.Avoid) == 0 {
+		return false
 	}
-	return &RefusedError{Reason: "every engine asks for a pause", Wait: ends.Sub(d.Clock.Now())}
+	return !slices.ContainsFunc(d.Endpoints.Service(a.Service), func(e *enlister.Endpoint) bool {
+		return e.Stage != enroller.Prefill && !slices.Contains(a.Avoid, e.ID)
+	})
 }
 
 // resolve finds the engines of an answer in the own list. An engine that is not in it cannot be used.
@@ -319,7 +316,6 @@
 // ask asks the home, or decides alone while the home is silent.
 func (d *Dispatcher) ask(ctx context.Context, a Ask, patience time.Duration) (wire.PlaceAnswer, error) {
 	home, own := d.home(a.Service)
-	a.Avoid, _ = d.Endpoints.Paused(a.Service)
 	if own || d.isSilent(home.Name) {
 		return d.desk(a.Service).poll(ctx, a.request(d.DataCentre), patience, !own || !d.Hosts.HasMajority()), nil
 	}
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -54,6 +54,9 @@
 	return fmt.Sprintf("sender: unable to get an answer of %s: %s", e.Endpoint, e.Reason)
 }
 
+// IsRefused tells whether the endpoint turned the request away, now or by a pause that it asked for.
+func (e *SendError) IsRefused() bool { return e.Outcome == NotRun || e.Wait > 0 }
+
 // outgoing returns the request for one send of a job.
 func (x *Sender) outgoing(ctx context.Context, j *Job, e *enlister.Endpoint, s Send) (*http.Request, error) {
 	r, err := dialer.Request(ctx, j.Method, "http://"+e.Address.String()+"/", bytes.NewReader(j.Body), int64(len(j.Body)))
--- a/transport/store/tailer/tailer.go
+++ b/transport/store/tailer/tailer.go
@@ -63,9 +63,7 @@
 	Topic string
 	Sink  Sink
 	// Wait is how long a call waits for records; 0 asks at once.
-	Wait time.Duration
-	// Pause is the time between two calls.
-	Pause time.Duration
+	Wait  time.Duration
 	Clock clockwork.Clock
 	Logs  hclog.Logger
 }
@@ -97,7 +95,6 @@
 		if err == nil {
 			t.note(nil)
 			pause = retryPause
-			t.sleep(ctx, t.options.Pause)
 			continue
 		}
 		var expired *ExpiredError
@@ -187,9 +184,6 @@
 }
 
 func (t *Tailer) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
 	select {
 	case <-ctx.Done():
 	case <-t.options.Clock.After(d):
