Bound the margin of a memory forecast by the use if all runs go on

Change: the forecast also carries the use if no run ends, and the margin stops there. No run is preempted by it. Ruled out: fewer deviations (the estimate of the other steps needs them).

--- a/parts/coordination/packer/packer.go
+++ b/parts/coordination/packer/packer.go
@@ -70,10 +70,11 @@
 	stale      bool
 }
 
-// forecast is a predicted use of memory at each step.
+// forecast is a predicted use of memory at each step. Most is the use if no run ends before that step.
 type forecast struct {
 	mean     [steps]float64
 	variance [steps]float64
+	most     [steps]float64
 }
 
 // refresh is how long a forecast is used.
@@ -167,11 +168,12 @@
 	return p.highest(&f) / float64(e.memory)
 }
 
-// highest returns the highest point of a forecast with the margin for its spread.
+// highest returns the highest point of a forecast with the margin for its spread, which is never more than the use if
+// all runs go on: the sizes of prompts are known, and those of outputs over the next moments nearly so.
 func (p *Packer) highest(f *forecast) float64 {
 	highest := 0.0
 	for i := range f.mean {
-		highest = max(highest, f.mean[i]+p.confidence*math.Sqrt(f.variance[i]))
+		highest = max(highest, min(f.mean[i]+p.confidence*math.Sqrt(f.variance[i]), f.most[i]))
 	}
 	return highest
 }
@@ -189,6 +191,7 @@
 		}
 		use := float64(r.Prompt) + min(output, r.longest())
 		f.mean[i] += share * use
+		f.most[i] += use
 		f.variance[i] += share * (1 - share) * use * use
 	}
 }
--- a/parts/coordination/packer/packer_test.go
+++ b/parts/coordination/packer/packer_test.go
@@ -225,3 +225,12 @@
 	s.Assign(epoch, "r", "a", 1_000_000)
 	assert.Zero(t, s.Backlog(epoch.Add(lostAfter+1), "r"))
 }
+
+// Long prompts with short outputs: what the runs use next is known almost for certain, whenever they end.
+func TestRunsAtAllAgesFillAnEngineAsFarAsTheirUseIfAllGoOn(t *testing.T) {
+	const memory = 68_000
+	long := Job{Prompt: 5200, Hint: 1000, MaxOutput: 2400}
+	cautious, _ := New(2.5).Fit(epoch, memory, slots, 250, long)
+	usual, _ := New(0).Fit(epoch, memory, slots, 250, long)
+	assert.Equal(t, usual, cautious)
+}
