Decide at arrival who can be served in time; those who come back go before other late ones

Change: the capacity of the engines in use is known from measured times (as for the split). Among those who wait in time, the fewest and largest that do not fit before their last moments are put behind the others (Moore and Hodgson), within an eighth of the time to the target after they came; late ones are refused at once if the capacity that arrivals leave does not reach them before their last moment. A caller who comes back is known by the request's fingerprint: he counts as late from the first time on, goes before other late ones and is not refused by forecast again.

--- a/lab/simulator/day.go
+++ b/lab/simulator/day.go
@@ -3,8 +3,11 @@
 package simulator
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/placer"
@@ -45,6 +48,9 @@
 	Target   time.Duration
 	Pause    time.Duration
 	Deadline time.Duration
+	// WaitShare is the part of the time left that a request waits for a place at most; 0 has it wait until the deadline is
+	// out of reach.
+	WaitShare float64
 	// Hop is the time from host to home or engine, one way.
 	Hop  time.Duration
 	Seed uint64
@@ -61,6 +67,11 @@
 	// Unread is the number of prompt tokens that were read in vain or again.
 	Unread int
 	Moves  int
+	// Refusals are how long refused requests had waited, those that came back counted again.
+	Refusals []time.Duration
+	// AllServed is the share of requests that were served, LargeServed that of the tenth with the longest prompts.
+	AllServed   float64
+	LargeServed float64
 }
 
 // lateWorth is what a late answer is worth of one in time.
@@ -122,6 +133,7 @@
 	for _, q := range s.requests {
 		s.broken(q) // whoever has no end yet has left by now
 	}
+	s.countServed()
 	return s.result
 }
 
@@ -156,6 +168,11 @@
 	s.clock.after(s.Hop, func() {
 		s.waiting[q.ID] = q
 		s.order = append(s.order, q.ID)
+		q.arrived = s.clock.now
+		if s.WaitShare > 0 {
+			left := q.Arrived.Add(s.Deadline).Sub(s.clock.now)
+			q.Latest = s.clock.now.Add(time.Duration(s.WaitShare * float64(left)))
+		}
 		s.policy.arrived(s.clock.now, q)
 		s.look()
 	})
@@ -192,7 +209,8 @@
 // refuse has a request come back once, if there is time.
 func (s *day) refuse(q *request, wait time.Duration) {
 	delete(s.waiting, q.ID)
-	if q.returned || s.clock.now.Add(wait).After(q.Latest) {
+	s.result.Refusals = append(s.result.Refusals, s.clock.now.Sub(q.arrived))
+	if q.returned || s.clock.now.Add(wait).After(q.Arrived.Add(s.Deadline)) {
 		q.over = true
 		s.result.Refused++
 		return
@@ -302,8 +320,10 @@
 		s.result.Broken++
 	case r.begun.Sub(r.Arrived)+s.Hop <= s.Target && !r.slow:
 		s.result.OnTime++
+		r.served = true
 	default:
 		s.result.Late++
+		r.served = true
 	}
 	s.clock.after(s.Hop, func() {
 		s.policy.ended(s.clock.now, r.ID, r.output)
@@ -311,6 +331,24 @@
 	})
 }
 
+// countServed works out how often requests of all sizes and large ones were served.
+func (s *day) countServed() {
+	list := slices.Collect(maps.Values(s.requests))
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(b.Prompt, a.Prompt) })
+	s.result.AllServed = servedShare(list)
+	s.result.LargeServed = servedShare(list[:len(list)/10])
+}
+
+func servedShare(list []*request) float64 {
+	n := 0
+	for _, q := range list {
+		if q.served {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(list)))
+}
+
 func (s *day) balance() {
 	engines, reads := s.policy.balance(s.clock.now)
 	for _, id := range engines {
--- a/lab/simulator/policies.go
+++ b/lab/simulator/policies.go
@@ -47,10 +47,8 @@
 	return &home{day: s, placer: placer.New(rand.New(rand.NewPCG(s.Seed, 2))), fixed: fixed}
 }
 
-func (h *home) arrived(_ time.Time, q *request) {
-	if !q.returned {
-		h.placer.Asked(q.Request)
-	}
+func (h *home) arrived(now time.Time, q *request) {
+	q.Request = h.placer.Asked(now, q.Request)
 }
 
 func (h *home) update() {
--- a/lab/simulator/requests.go
+++ b/lab/simulator/requests.go
@@ -16,6 +16,9 @@
 	output   int
 	begun    time.Time
 	returned bool
+	// arrived is when the request came last: those who come back arrive anew.
+	arrived time.Time
+	served  bool
 	// slow is set once a pause between events was too long.
 	slow bool
 	over bool
@@ -51,7 +54,7 @@
 			Item: queuer.Item{
 				Arrived: at, Latest: at.Add(s.Deadline - time.Duration(s.Output*2)*s.Model.StepTime),
 			},
-			DataCentre: fmt.Sprintf("z%d", i%max(1, s.Zones)), MaxPause: s.Pause,
+			DataCentre: fmt.Sprintf("z%d", i%max(1, s.Zones)), MaxPause: s.Pause, Fingerprint: uint64(i) + 1,
 		},
 		output: int(output),
 	}
--- a/parts/coordination/placer/balance.go
+++ b/parts/coordination/placer/balance.go
@@ -98,8 +98,7 @@
 	if speed := mean(speeds); speed > 0 {
 		l.ReadTime = time.Duration(p.sizes.prompt / speed * float64(time.Second))
 	}
-	usual := packer.Job{Prompt: int(p.sizes.prompt), Hint: int(p.sizes.hint), MaxOutput: int(p.sizes.most)}
-	l.Fit, l.RunTime = p.fit(now, usual)
+	l.Fit, l.RunTime = p.fit(now, p.usual())
 	return l
 }
 
--- /dev/null
+++ b/parts/coordination/placer/capacity.go
@@ -0,0 +1,90 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
+)
+
+// capacityPeriod is how long a capacity stands: to work it out takes as long as placing dozens of requests.
+const capacityPeriod = 250 * time.Millisecond
+
+// admitShare is the part of the time to its target within which a request is admitted or put behind those in time.
+const admitShare = 0.125
+
+// isAdmitted tells whether a request has waited too long to be put behind others.
+func (r Request) isAdmitted(now time.Time) bool {
+	return now.Sub(r.Arrived) > share(admitShare, r.FirstBy.Sub(r.Arrived))
+}
+
+// capacity is what the engines that take something can serve in a second, by measured times.
+type capacity struct {
+	// rate is the number of usual requests a second, 0 if too little was measured.
+	rate float64
+	// usual is the work of a usual request.
+	usual float64
+	at    time.Time
+}
+
+// capacity returns what the engines in use can serve.
+func (p *Placer) capacity(now time.Time) capacity {
+	if age := now.Sub(p.known.at); age < 0 || age >= capacityPeriod {
+		p.known = p.measureCapacity(now)
+		p.known.at = now
+	}
+	return p.known
+}
+
+func (p *Placer) measureCapacity(now time.Time) capacity {
+	l := p.load(now)
+	l.Readers, l.Generators = 0, 0
+	for _, e := range p.engines {
+		switch {
+		case e.Out || p.isChanging(now, e):
+		case e.Reads:
+			l.Readers++
+		default:
+			l.Generators++
+		}
+	}
+	if !l.IsMeasured() {
+		return capacity{}
+	}
+	return capacity{rate: l.Rate(l.Readers), usual: work(p.usual())}
+}
+
+// usual is a request of mean size.
+func (p *Placer) usual() packer.Job {
+	return packer.Job{Prompt: int(p.sizes.prompt), Hint: int(p.sizes.hint), MaxOutput: int(p.sizes.most)}
+}
+
+// work is the memory of a generation times the tokens during which it is used.
+func work(j packer.Job) float64 {
+	output := float64(j.Hint)
+	if output <= 0 {
+		output = float64(j.MaxOutput)
+	}
+	return (float64(j.Prompt) + output/2) * output
+}
+
+// needs returns the time of all engines together that a request takes.
+func (c capacity) needs(j packer.Job) time.Duration {
+	return time.Duration(work(j) / max(1, c.usual) / c.rate * float64(time.Second))
+}
+
+// postpone has those be late who cannot all be served in time: the fewest, the largest first. The list is in the order in
+// which it is served.
+func (c capacity) postpone(now time.Time, list []Request) {
+	var works []queuer.Work
+	for _, r := range list {
+		if !r.IsLate(now) {
+			works = append(works, queuer.Work{Needs: c.needs(r.Job), Start: r.OnTime, Admitted: r.isAdmitted(now)})
+		}
+	}
+	for i, deferred := range queuer.Defer(now, works) {
+		if deferred {
+			list[i].OnTime = now.Add(-1)
+		}
+	}
+}
--- a/parts/coordination/placer/placer.go
+++ b/parts/coordination/placer/placer.go
@@ -53,6 +53,8 @@
 	packer.Job
 	queuer.Item
 	DataCentre string
+	// Fingerprint is the same when a refused caller comes back.
+	Fingerprint uint64
 	// FirstBy is when the first event must come for an answer within the target. The last moment for a place in time
 	// follows from it.
 	FirstBy time.Time
@@ -87,6 +89,8 @@
 	packer  *packer.Packer
 	readers *packer.Readers
 	placed  queuer.Pace
+	arrived queuer.Pace
+	known   capacity
 	pace    packer.Pace
 	sizes   sizes
 	stager  stager.Stager
@@ -96,13 +100,22 @@
 	paused map[string]time.Time
 	// reading tells until when a decode engine reads a prompt itself, for want of a reading engine.
 	reading map[string]time.Time
+	// refused are requests whose callers may come back, by fingerprint.
+	refused map[uint64]refused
+}
+
+// refused is a request that was refused.
+type refused struct {
+	firstBy time.Time
+	// until is how long its caller counts as one who comes back.
+	until time.Time
 }
 
 // New returns a Placer without engines.
 func New(random *rand.Rand) *Placer {
 	return &Placer{
 		random: random, packer: packer.New(confidence), readers: packer.NewReaders(), lead: newLead(), changes: make(map[string]change),
-		paused: make(map[string]time.Time), reading: make(map[string]time.Time),
+		paused: make(map[string]time.Time), reading: make(map[string]time.Time), refused: make(map[uint64]refused),
 	}
 }
 
@@ -123,10 +136,16 @@
 	}
 }
 
-// Asked learns from a request that is new.
-func (p *Placer) Asked(r Request) {
+// Asked learns from a request that is new, and returns it with what is known of it if its caller comes back after a
+// refusal: its answer was due as long ago as the first time.
+func (p *Placer) Asked(now time.Time, r Request) Request {
+	if before, ok := p.refused[r.Fingerprint]; ok {
+		r.Returned, r.FirstBy = true, before.firstBy
+	}
+	p.arrived.Placed(now)
 	p.sizes.asked(r.Job)
 	p.packer.Asked(r.Job)
+	return r
 }
 
 // Hold returns the tokens to reserve for a request at its engine.
@@ -229,4 +248,5 @@
 	for _, m := range []map[string]time.Time{p.paused, p.reading} {
 		maps.DeleteFunc(m, func(_ string, until time.Time) bool { return now.After(until) })
 	}
+	maps.DeleteFunc(p.refused, func(_ uint64, r refused) bool { return now.After(r.until) })
 }
--- a/parts/coordination/placer/placer_test.go
+++ b/parts/coordination/placer/placer_test.go
@@ -284,7 +284,7 @@
 // One of two readers had turned slow, and the split was chosen as if both were as fast as the other one.
 func TestTheSplitCountsReadersForWhatTheyRead(t *testing.T) {
 	p := newPlacer(2, 7)
-	p.Asked(request(0, epoch))
+	p.Asked(epoch, request(0, epoch))
 	now := epoch
 	for i := range 8 { // a prompt of 5,200 tokens each
 		for id, took := range map[string]time.Duration{"r0": 100 * time.Millisecond, "r1": 800 * time.Millisecond} {
--- a/parts/coordination/placer/plan.go
+++ b/parts/coordination/placer/plan.go
@@ -12,6 +12,10 @@
 	maxReturn = 4 * time.Second
 	// returnSpread is the part of the wait over which returns are spread.
 	returnSpread = 0.5
+	// returnSlack is how much later than told a refused caller still counts as one who comes back.
+	returnSlack = 5 * time.Second
+	// unservable stands for a wait without an end.
+	unservable = time.Hour
 )
 
 // Plan is what becomes of those who wait; whoever is in neither list waits on.
@@ -34,36 +38,65 @@
 	}
 	s := p.newSearch(now)
 	s.setOnTime(list)
-	queuer.Sort(now, list, func(r Request) queuer.Item { return r.Item })
-	for i, r := range list {
-		if s.hasMissed() && r.IsLate(now) {
-			plan.Refused = append(plan.Refused, p.refuseUnservable(now, list[i:], i)...)
-			break
-		}
-		if place, ok := s.place(r); ok {
-			plan.Places = append(plan.Places, place)
+	byRank := func(r Request) queuer.Item { return r.Item }
+	queuer.Sort(now, list, byRank)
+	capacity := p.capacity(now)
+	if capacity.rate > 0 {
+		capacity.postpone(now, list)
+		queuer.Sort(now, list, byRank)
+	}
+	left := list[:0]
+	for _, r := range list {
+		place, ok := s.place(r)
+		if !ok {
+			left = append(left, r)
+			continue
 		}
+		plan.Places = append(plan.Places, place)
+	}
+	if s.hasMissed() {
+		plan.Refused = append(plan.Refused, p.refuseUnservable(now, left, capacity)...)
 	}
 	return plan
 }
 
-// refuseUnservable refuses whoever will not get a place in time at the present pace.
-func (p *Placer) refuseUnservable(now time.Time, waiting []Request, ahead int) []Refusal {
+// refuseUnservable refuses those of the late who will not get a place any more.
+func (p *Placer) refuseUnservable(now time.Time, waiting []Request, c capacity) []Refusal {
 	var refused []Refusal
-	for i, r := range waiting {
-		if wait, ok := p.placed.Wait(now, ahead+i); ok && now.Add(wait).After(r.Latest) {
-			refused = append(refused, p.refuse(now, r, "no engine will have room in time", ahead+i))
+	ahead := 0
+	for _, r := range waiting {
+		if r.IsLate(now) && !r.Returned {
+			if wait, ok := p.waitOf(now, ahead, c); ok && now.Add(wait).After(r.Latest) {
+				refused = append(refused, p.refuse(now, r, "no engine will have room in time", ahead))
+				continue
+			}
 		}
+		ahead++
 	}
 	return refused
 }
 
+// waitOf returns how long a late request waits with some ahead of it. Those who come meanwhile and can be served in time go
+// before it.
+func (p *Placer) waitOf(now time.Time, ahead int, c capacity) (time.Duration, bool) {
+	if c.rate <= 0 {
+		return p.placed.Wait(now, ahead)
+	}
+	left := c.rate - p.arrived.Rate(now)
+	if left <= 0 {
+		return unservable, true
+	}
+	return time.Duration(float64(ahead) / left * float64(time.Second)), true
+}
+
 // refuse tells a request to come back when those ahead have their places. Returns are spread.
 func (p *Placer) refuse(now time.Time, r Request, reason string, ahead int) Refusal {
-	wait, ok := p.placed.Wait(now, ahead+1)
+	wait, ok := p.waitOf(now, ahead+1, p.known)
 	if !ok {
 		wait = maxReturn
 	}
 	wait = min(max(wait, minReturn), maxReturn)
-	return Refusal{ID: r.ID, Reason: reason, Wait: time.Duration(float64(wait) * (1 + returnSpread*p.random.Float64()))}
+	wait = time.Duration(float64(wait) * (1 + returnSpread*p.random.Float64()))
+	p.refused[r.Fingerprint] = refused{firstBy: r.FirstBy, until: now.Add(wait + returnSlack)}
+	return Refusal{ID: r.ID, Reason: reason, Wait: wait}
 }
--- a/parts/coordination/queuer/pace.go
+++ b/parts/coordination/queuer/pace.go
@@ -29,3 +29,12 @@
 	}
 	return time.Duration(float64(ahead) * float64(took) / float64(len(p.placed))), true
 }
+
+// Rate returns the places a second, 0 if too few are known.
+func (p *Pace) Rate(now time.Time) float64 {
+	wait, ok := p.Wait(now, 1)
+	if !ok {
+		return 0
+	}
+	return 1 / wait.Seconds()
+}
--- a/parts/coordination/queuer/queuer.go
+++ b/parts/coordination/queuer/queuer.go
@@ -19,6 +19,8 @@
 	OnTime time.Time
 	// Latest is the last moment to start at all.
 	Latest time.Time
+	// Returned is set for a caller who was refused before and has come back when told to.
+	Returned bool
 }
 
 // IsLate tells whether the target can no longer be met.
@@ -28,7 +30,7 @@
 func (i Item) IsLost(now time.Time) bool { return now.After(i.Latest) }
 
 // Sort puts items in the order in which they are to be served: those in time by rank and by how little time they have
-// left, then the late ones by rank and arrival.
+// left, then the late ones by rank, those who have come back before the others, and by arrival.
 func Sort[T any](now time.Time, items []T, item func(T) Item) {
 	slices.SortStableFunc(items, func(a, b T) int {
 		x, y := item(a), item(b)
@@ -39,7 +41,7 @@
 			return cmp.Compare(x.Priority, y.Priority)
 		}
 		if x.IsLate(now) {
-			return x.Arrived.Compare(y.Arrived)
+			return cmp.Or(compareBool(y.Returned, x.Returned), x.Arrived.Compare(y.Arrived))
 		}
 		return x.OnTime.Compare(y.OnTime)
 	})
@@ -54,3 +56,48 @@
 	}
 	return 1
 }
+
+// Work is the time of all engines together that a request needs, and the moment by which it must start. Admitted work is
+// not deferred any more.
+type Work struct {
+	Needs    time.Duration
+	Start    time.Time
+	Admitted bool
+}
+
+// Defer tells which of the requests in works, in the order of their last moments, cannot be started in time together if
+// they are started one after another from now on. It defers the largest each time one would be late, which leaves the
+// fewest late (Moore and Hodgson).
+func Defer(now time.Time, works []Work) []bool {
+	deferred := make([]bool, len(works))
+	var kept []int
+	ahead := time.Duration(0)
+	for i, w := range works {
+		kept = append(kept, i)
+		ahead += w.Needs
+		// The last one starts once those before it have had their share.
+		if !now.Add(ahead - w.Needs).After(w.Start) {
+			continue
+		}
+		largest := largestOf(works, kept)
+		if largest < 0 {
+			continue
+		}
+		j := kept[largest]
+		deferred[j] = true
+		ahead -= works[j].Needs
+		kept = slices.Delete(kept, largest, largest+1)
+	}
+	return deferred
+}
+
+// largestOf returns the place in kept of the largest work that is not admitted, -1 if all are.
+func largestOf(works []Work, kept []int) int {
+	largest := -1
+	for k, j := range kept {
+		if !works[j].Admitted && (largest < 0 || works[j].Needs > works[kept[largest]].Needs) {
+			largest = k
+		}
+	}
+	return largest
+}
--- a/parts/coordination/stager/stager.go
+++ b/parts/coordination/stager/stager.go
@@ -40,6 +40,11 @@
 	Ended int
 }
 
+// IsMeasured tells whether enough was measured to go by.
+func (l Load) IsMeasured() bool {
+	return l.Read >= leastSamples && l.Ended >= leastSamples && l.ReadTime > 0 && l.RunTime > 0 && l.Fit > 0
+}
+
 // Rate returns the generations that readers reading engines and the rest can serve in a second.
 func (l Load) Rate(readers int) float64 {
 	generators := l.Readers + l.Generators - readers
@@ -80,7 +85,7 @@
 	if l.Readers < least && l.Generators > 1 {
 		return ToPrefill, 1
 	}
-	if l.Read < leastSamples || l.Ended < leastSamples || l.ReadTime <= 0 || l.RunTime <= 0 || l.Fit <= 0 {
+	if !l.IsMeasured() {
 		return Stay, 0
 	}
 	// Engines that crashed are listed for seconds beside those that started in their place.
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -499,6 +499,9 @@
 	// Pause is the longest between two events for an answer in time.
 	Pause int `json:"pause"`
 
+	// Print is the fingerprint of the request, the same when its caller comes back.
+	Print int `json:"print"`
+
 	// Prompt corresponds to the JSON schema field "prompt".
 	Prompt int `json:"prompt"`
 
--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -72,7 +72,8 @@
 	a := dispatcher.Ask{
 		Service: j.Service, ID: j.ID, Prompt: j.request.Prompt.Tokens, Hint: j.request.Prompt.Hint,
 		MaxOutput: j.request.Prompt.MaxOutput, Priority: j.route.Priority, MaxPause: j.route.MaxPause, Arrived: j.started,
-		FirstBy: j.started.Add(j.route.Target), Latest: now.Add(time.Duration(waitShare * float64(j.Left(now)))),
+		Fingerprint: j.Fingerprint,
+		FirstBy:     j.started.Add(j.route.Target), Latest: now.Add(time.Duration(waitShare * float64(j.Left(now)))),
 	}
 	waited := j.started
 	if l.count > 0 {
--- a/transport/endpoints/dispatcher/desk.go
+++ b/transport/endpoints/dispatcher/desk.go
@@ -100,9 +100,9 @@
 	k.used = now
 	t := k.tickets[r.ID]
 	if t == nil {
+		r = k.placer.Asked(now, r)
 		t = &ticket{request: r, alone: alone, answer: make(chan wire.PlaceAnswer, 1)}
 		k.tickets[r.ID] = t
-		k.placer.Asked(r)
 	}
 	t.polled, t.patience = now, patience
 	if !k.watching {
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -100,6 +100,8 @@
 	Hint      int
 	MaxOutput int
 	Priority  int
+	// Fingerprint is the same when a refused caller comes back.
+	Fingerprint uint64
 	// MaxPause is the longest pause between two events for an answer within the target.
 	MaxPause time.Duration
 	Arrived  time.Time
@@ -115,7 +117,7 @@
 	return placer.Request{
 		Job:        packer.Job{ID: a.ID, Prompt: a.Prompt, Hint: a.Hint, MaxOutput: a.MaxOutput},
 		Item:       queuer.Item{Priority: a.Priority, Arrived: a.Arrived, Latest: a.Latest},
-		DataCentre: dataCentre, FirstBy: a.FirstBy, MaxPause: a.MaxPause, Avoid: a.Avoid,
+		DataCentre: dataCentre, Fingerprint: a.Fingerprint, FirstBy: a.FirstBy, MaxPause: a.MaxPause, Avoid: a.Avoid,
 	}
 }
 
@@ -336,8 +338,8 @@
 	return wire.PlaceAsk{
 		Service: a.Service, ID: a.ID, Zone: d.DataCentre, Prompt: a.Prompt, Hint: a.Hint, Max: a.MaxOutput, Rank: a.Priority,
 		Pause: int(a.MaxPause.Milliseconds()),
-		Avoid: a.Avoid,
-		Age:   -left(a.Arrived), First: left(a.FirstBy), Latest: left(a.Latest),
+		Avoid: a.Avoid, Print: int(a.Fingerprint),
+		Age: -left(a.Arrived), First: left(a.FirstBy), Latest: left(a.Latest),
 		Sent: d.isRedirected(a.Service) || d.isStandIn(a.Service, home),
 	}
 }
@@ -348,7 +350,7 @@
 	}
 	now := d.Clock.Now()
 	a := Ask{
-		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank,
+		Service: w.Service, ID: w.ID, Prompt: w.Prompt, Hint: w.Hint, MaxOutput: w.Max, Priority: w.Rank, Fingerprint: uint64(w.Print),
 		MaxPause: milliseconds(w.Pause), Avoid: w.Avoid,
 		Arrived: now.Add(-milliseconds(w.Age)), FirstBy: now.Add(milliseconds(w.First)), Latest: now.Add(milliseconds(w.Latest)),
 	}
