--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -140,17 +140,25 @@
 }
 
 // finishStream logs a stream that ended whole.
-func (l *relay) finishStream(e *enlister.Endpoint) {
-	j := l.j
-	j.Trace.Set("endpoint", e.ID)
-	j.Trace.Set("events", l.count)
-	j.Trace.Set("first_ms", l.firstAt.Sub(j.started).Milliseconds())
-	j.Trace.Set("pause_ms", l.maxPause.Milliseconds())
-	l.router.end(j, ending{})
+func (l *relay) finishStream() {
+	l.trace()
+	l.router.end(l.j, ending{})
+}
+
+// trace notes how far the stream came, for the log.
+func (l *relay) trace() {
+	if l.count == 0 {
+		return
+	}
+	l.j.Trace.Set("events", l.count)
+	l.j.Trace.Set("first_ms", l.firstAt.Sub(l.j.started).Milliseconds())
+	l.j.Trace.Set("pause_ms", l.maxPause.Milliseconds())
+	l.j.Trace.Set("last_ms", l.lastAt.Sub(l.j.started).Milliseconds())
 }
 
 // abort ends a stream so that it cannot look complete. It does not return.
 func (l *relay) abort(e ending) {
+	l.trace()
 	l.router.end(l.j, e)
 	panic(http.ErrAbortHandler)
 }
@@ -159,6 +167,7 @@
 func (l *relay) run(ctx context.Context, e *enlister.Endpoint, s sender.Send) (settled bool, err error) {
 	x := l.router
 	defer e.Begin()()
+	l.j.Trace.Set("endpoint", e.ID)
 	s.LastEvent = l.lastEvent
 	begun := x.Clock.Now()
 	resp, err := x.Sender.Open(ctx, &l.j.Job, e, s)
@@ -174,7 +183,7 @@
 	case err == nil:
 		e.Judge(func(h *ejector.Health) { h.Succeeded(x.Clock.Now().Sub(begun)) })
 		x.Sender.Isolator.Finished(l.j.Fingerprint)
-		l.finishStream(e)
+		l.finishStream()
 		return true, nil
 	case errors.As(err, &gone) || errors.Is(ctx.Err(), context.Canceled):
 		l.abort(ending{reason: "the caller is gone"})
