Order records by era and offset, for a store that comes back from an older copy

Cause: offsets were taken to mean the same for ever. After the store returns from a copy they are given out again: a fence could be lower than one before it or another holder's, a read from an offset that exists again skipped what was written in between, an entry of before counted as news, and a duty whose record was lost could be taken at once while its holder still gave orders. Shown: with positions that leave the era out, the tests of enroller, conductor (both cases) and of rising positions fail. The system test (three hosts, three returns) passes before this change, too: an outage has the topics listed anew there. Not covered: the log of the own interface, which has no era; a host that starts right after a return and has seen no era before; the model.

--- a/internal/daemon/hosts_test.go
+++ b/internal/daemon/hosts_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamspan/hornbeamspan/lab/platformer"
 )
@@ -142,3 +143,58 @@
 		r.close()
 	}
 }
+
+// What the operator and the endpoints wrote since the copy is gone and its offsets are given out again.
+func TestAStoreThatReturnsFromAnOlderCopyBringsNothingBackAndIsFollowed(t *testing.T) {
+	r := newRig(t, sizes{hosts: 3, desk: 3})
+	r.started()
+	r.store.Copy()
+	added := route("added", "/added/", "idempotent", "desk", nil)
+	r.configure(added)
+	r.desk[0].Leave()
+	isAdded := func() bool {
+		for i := range r.hosts {
+			if r.call(i, http.MethodGet, "/added/", "").status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}
+	r.await("the new route everywhere", isAdded)
+	r.await("the endpoint to get nothing", func() bool {
+		before := r.desk[0].Sent()
+		return isAdded() && r.desk[0].Sent() == before
+	})
+	before := r.desk[0].Sent()
+	for range 2 {
+		r.store.Return()
+		r.desk[1].Announce()
+		r.desk[2].Announce()
+		for range 20 {
+			require.True(t, isAdded(), "an accepted configuration stays in force")
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	assert.Equal(t, before, r.desk[0].Sent(), "an endpoint that has left gets nothing")
+	r.configure(added, route("read", "/read/", "idempotent", "desk", nil))
+	r.await("all hosts to have read on", func() bool {
+		return !slices.ContainsFunc([]int{0, 1, 2}, func(i int) bool {
+			return r.call(i, http.MethodGet, "/read/", "").status != http.StatusOK
+		})
+	})
+	r.store.SetDown(true)
+	r.store.Return()
+	r.configure(added, route("later", "/later/", "idempotent", "desk", nil))
+	for range 10 { // the topic ends behind where it ended before
+		r.store.Put("keyed.op", "other", []byte("x"))
+	}
+	r.store.SetDown(false)
+	r.await("what is written in the new era", func() bool {
+		for i := range r.hosts {
+			if r.call(i, http.MethodGet, "/later/", "").status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/lab/platformer/store.go
+++ b/lab/platformer/store.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -40,7 +41,10 @@
 	mu      sync.Mutex
 	gates   []*Gate
 	topics  map[string]*topic
-	down    bool
+	// copied are the topics as Copy found them, era how often the store came back from a copy.
+	copied map[string]*topic
+	era    int
+	down   bool
 	// lost is the number of appends still to be carried out without an answer.
 	lost  int
 	calls int
@@ -57,6 +61,7 @@
 		s.mu.Lock()
 		s.calls++
 		down := s.down
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		s.mu.Unlock()
 		if down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
@@ -153,6 +158,32 @@
 	}
 }
 
+// Copy keeps the topics as they are now for Return.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = make(map[string]*topic)
+	for name, t := range s.topics {
+		s.copied[name] = &topic{records: slices.Clone(t.records), first: t.first}
+	}
+}
+
+// Return has the store come back as it was at the last Copy, in the next era. What was acknowledged since is gone.
+func (s *Store) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for name, t := range s.topics {
+		old := s.copied[name]
+		if old == nil {
+			old = &topic{}
+		}
+		t.records, t.first = slices.Clone(old.records), old.first
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
 // LoseAnswers has the next n appends carried out without an answer.
 func (s *Store) LoseAnswers(n int) {
 	s.mu.Lock()
@@ -260,7 +291,7 @@
 	defer cancel()
 	s.mu.Lock()
 	t := s.topic(query.Get("topic"))
-	for t.end() <= from && ctx.Err() == nil && !s.down {
+	for t.end() == from && ctx.Err() == nil && !s.down {
 		changed := t.changed
 		s.mu.Unlock()
 		select {
@@ -270,7 +301,8 @@
 		s.mu.Lock()
 	}
 	defer s.mu.Unlock()
-	if from < t.first {
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	if from < t.first || from > t.end() {
 		w.WriteHeader(http.StatusGone)
 		fmt.Fprintf(w, `{"first":%d}`, t.first)
 		return
--- a/parts/coordination/enroller/enroller.go
+++ b/parts/coordination/enroller/enroller.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sort"
 	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/state/replicator"
 )
 
 // Grace is how long an entry that lapsed around an outage of the store is kept after the store's return: endpoints that
@@ -51,23 +53,39 @@
 	lapsed time.Time
 }
 
+// departure is the last that was known of an entry that is gone.
+type departure struct {
+	offset   uint64
+	born     time.Time
+	sequence int64
+}
+
+// isOlder tells whether an announcement at offset was made before the departure. A store that comes back from an older
+// copy shows such announcements at higher positions.
+func (d departure) isOlder(ep Endpoint, offset uint64) bool {
+	if replicator.Era(offset) == replicator.Era(d.offset) {
+		return offset < d.offset
+	}
+	return ep.Born.Before(d.born) || ep.Born.Equal(d.born) && ep.Sequence <= d.sequence
+}
+
 // Enroller is the list. It is not safe for concurrent use.
 type Enroller struct {
 	entries map[string]*entry
-	gone    map[string]uint64
+	gone    map[string]departure
 	out     bool
 	back    time.Time
 }
 
 // New returns an empty list.
 func New() *Enroller {
-	return &Enroller{entries: make(map[string]*entry), gone: make(map[string]uint64)}
+	return &Enroller{entries: make(map[string]*entry), gone: make(map[string]departure)}
 }
 
 // Put takes an announcement at offset of the store. It returns false if the announcement is an old one.
 func (e *Enroller) Put(ep Endpoint, offset uint64) bool {
 	old := e.entries[ep.ID]
-	if offset < e.gone[ep.ID] {
+	if d, ok := e.gone[ep.ID]; ok && d.isOlder(ep, offset) {
 		return false
 	}
 	if old != nil {
@@ -106,8 +124,12 @@
 }
 
 func (e *Enroller) drop(id string, offset uint64) {
+	d := departure{offset: offset}
+	if old := e.entries[id]; old != nil {
+		d.born, d.sequence = old.Born, old.Sequence
+	}
+	e.gone[id] = d
 	delete(e.entries, id)
-	e.gone[id] = offset
 }
 
 // Lost notes that the store is out of reach.
--- a/parts/coordination/enroller/enroller_test.go
+++ b/parts/coordination/enroller/enroller_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/state/replicator"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -87,3 +89,24 @@
 	assert.Empty(t, ids(e))
 	assert.True(t, e.Put(endpoint("a", 2), 3))
 }
+
+// A store that comes back from an older copy shows entries of before at positions that are new.
+func TestAStoreThatReturnsOlderBringsNoEndpointBackThatHasLeft(t *testing.T) {
+	returned := func(offset uint64) uint64 { return replicator.Position(1, offset) }
+	e := New()
+	e.Put(endpoint("gone", 5), 10)
+	e.Remove(epoch, "gone", 11)
+	leaving := endpoint("leaving", 5)
+	leaving.Leaving = true
+	e.Put(leaving, 12)
+
+	assert.False(t, e.Put(endpoint("gone", 5), returned(4)))
+	assert.False(t, e.Put(endpoint("leaving", 4), returned(5)))
+	assert.Equal(t, []string{"leaving"}, ids(e))
+	assert.True(t, e.All()[0].Leaving)
+
+	assert.True(t, e.Put(endpoint("gone", 6), returned(6)), "it announces itself again")
+	reborn := endpoint("leaving", 1)
+	reborn.Born = epoch.Add(time.Second)
+	assert.True(t, e.Put(reborn, returned(7)))
+}
--- a/parts/coordination/leaser/leaser.go
+++ b/parts/coordination/leaser/leaser.go
@@ -29,6 +29,8 @@
 type Watch struct {
 	cfg  Config
 	seen map[string]sighting
+	// returned is when the log was found to have lost records.
+	returned time.Time
 }
 
 type sighting struct {
@@ -47,11 +49,21 @@
 	w.seen[duty] = sighting{Record: r, at: now}
 }
 
+// Returned takes in that the log has lost records that it had acknowledged. Any host may hold a token whose record is
+// gone, so that nobody takes a duty until each such token has ended.
+func (w *Watch) Returned(now time.Time) {
+	clear(w.seen)
+	w.returned = now
+}
+
 // Holder returns the holder of a duty as last seen.
 func (w *Watch) Holder(duty string) string { return w.seen[duty].Holder }
 
 // MayTake tells whether holder may append a record of its own for a duty.
 func (w *Watch) MayTake(now time.Time, duty, holder string) bool {
+	if !w.returned.IsZero() && now.Sub(w.returned) < w.cfg.Wait() {
+		return false
+	}
 	s, ok := w.seen[duty]
 	return !ok || s.Holder == holder || now.Sub(s.at) >= w.cfg.Wait()
 }
--- a/parts/state/replicator/replicator.go
+++ b/parts/state/replicator/replicator.go
@@ -13,7 +13,7 @@
 // maxRemoved bounds the removed keys that are remembered. Followers that are further behind read everything anew.
 const maxRemoved = 1024
 
-// Record is one record of a keyed topic. An empty Value removes the key.
+// Record is one record of a keyed topic. An empty Value removes the key. Offset is the record's Position.
 type Record struct {
 	Key    string
 	Value  []byte
@@ -38,10 +38,14 @@
 	return &Replica{isNews: isNews, records: make(map[string]Record), changed: make(chan struct{})}
 }
 
-// Take takes in records that were read in their order, up to next.
+// Take takes in records that were read in their order, up to next. Those of an era before the replica's are left out: they
+// may have been lost since.
 func (r *Replica) Take(records []Record, next uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if Era(next) < Era(r.next) {
+		return
+	}
 	isChanged := false
 	for _, rec := range records {
 		isChanged = r.take(rec) || isChanged
@@ -78,10 +82,13 @@
 }
 
 // List takes in the whole topic as it was listed, up to end. What was removed meanwhile is not known, so followers that
-// are behind end read everything anew.
+// are behind end read everything anew. A list of an era before the replica's is left out.
 func (r *Replica) List(records []Record, end uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if Era(end) < Era(r.next) {
+		return
+	}
 	clear(r.records)
 	r.removed = nil
 	r.first, r.listed = end, true
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -134,6 +134,7 @@
 	gossiper  *gossiper.Gossiper
 	endpoints *enlister.Enlister
 	places    *dispatcher.Dispatcher
+	orders    *conductor.Conductor
 	sender    *sender.Sender
 	relay     *relayer.Relayer
 	// configTopic and endpointTopic are the log as it is read here, often through another host.
@@ -185,13 +186,13 @@
 	h.endpoints.OnGone(isolate.Gone)
 	h.endpoints.Measure(h.meter.Scope)
 	cfg.Engines.Listen(h.endpoints)
+	h.orders = conductor.New(conductor.Options{
+		Holder: cfg.Name, Topic: cfg.Topics.Duties, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
+		Clock: clock, Logs: logs,
+	})
 	h.places = dispatcher.New(dispatcher.Options{
 		DataCentre: cfg.DataCentre, Hosts: h.gossiper, Messenger: h.messenger, Endpoints: h.endpoints, Engines: cfg.Engines,
-		Orders: conductor.New(conductor.Options{
-			Holder: cfg.Name, Topic: cfg.Topics.Duties, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
-			Clock: clock, Logs: logs,
-		}),
-		Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs,
+		Orders: h.orders, Describe: h.describe, Clock: clock, Random: h.random("dispatcher", incarnation), Logs: logs,
 	})
 	h.endpoints.OnLeaving(h.places.TellLeaving)
 	h.sender = sender.New(sender.Options{
@@ -320,13 +321,17 @@
 	config := tailer.New(tailer.Options{
 		Log: h.configTopic, Topic: h.cfg.Topics.Config, Sink: h.config, Wait: configWait, Clock: h.clock, Logs: h.logs,
 	})
-	endpoints := tailer.New(tailer.Options{
-		Log: h.endpointTopic, Topic: h.cfg.Topics.Endpoints, Sink: h.endpoints, Clock: h.clock, Logs: h.logs,
-	})
 	introducing := introducer.New(introducer.Options{
 		Topic: h.cfg.Topics.Hosts, Host: h.cfg.Name, Address: h.cfg.Peers, Store: h.cfg.Store, Hosts: h.gossiper,
 		Clock: h.clock, Logs: h.logs,
 	})
+	endpoints := tailer.New(tailer.Options{
+		Log: h.endpointTopic, Topic: h.cfg.Topics.Endpoints, Sink: h.endpoints, Clock: h.clock, Logs: h.logs,
+		OnEra: func(era uint64) {
+			h.orders.SeeEra(era)
+			introducing.SeeEra(era)
+		},
+	})
 	for _, part := range []func(context.Context){config.Run, endpoints.Run, h.endpoints.Run, h.gossiper.Run, introducing.Run} {
 		h.wait.Go(func() { part(ctx) })
 	}
--- a/transport/endpoints/conductor/conductor.go
+++ b/transport/endpoints/conductor/conductor.go
@@ -15,6 +15,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/leaser"
+	"github.com/hornbeamspan/hornbeamspan/parts/state/replicator"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
@@ -84,6 +85,9 @@
 	options Options
 	mu      sync.Mutex
 	watch   *leaser.Watch
+	// era is that of the log as last seen.
+	era     uint64
+	hasSeen bool
 }
 
 // New returns a Conductor.
@@ -117,6 +121,21 @@
 	return err
 }
 
+// SeeEra takes in the era of the log that a reading has shown.
+func (c *Conductor) SeeEra(era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeEra(era)
+}
+
+func (c *Conductor) seeEra(era uint64) {
+	if c.hasSeen && era > c.era {
+		c.watch.Returned(c.options.Clock.Now())
+		eventer.Warn(c.options.Logs, eventer.LogReturned, "era", era, "before", c.era, "wait", c.options.Lease.Wait())
+	}
+	c.era, c.hasSeen = max(era, c.era), true
+}
+
 // token takes the duty of ordering one engine.
 func (c *Conductor) token(ctx context.Context, engine string) (leaser.Token, error) {
 	c.mu.Lock()
@@ -144,15 +163,18 @@
 
 // look reads the newest holder of every engine and returns the end of the topic.
 func (c *Conductor) look(ctx context.Context) (uint64, error) {
-	end, err := tailer.List(ctx, c.options.Store, c.options.Topic, func(r tailer.Record) {
+	var records []tailer.Record
+	end, err := tailer.List(ctx, c.options.Store, c.options.Topic, func(r tailer.Record) { records = append(records, r) })
+	if err != nil {
+		return 0, errorx.Decorate(err, "conductor: unable to read the duties")
+	}
+	c.seeEra(replicator.Era(end)) // which forgets what was seen before
+	for _, r := range records {
 		var d duty
 		if err := json.Unmarshal(r.Value, &d); err != nil {
 			eventer.Warn(c.options.Logs, eventer.RecordDamaged, "stream", c.options.Topic, "offset", r.Offset, "error", err.Error())
 		}
 		c.watch.Seen(c.options.Clock.Now(), r.Key, leaser.Record{Holder: d.Holder, Offset: r.Offset})
-	})
-	if err != nil {
-		return 0, errorx.Decorate(err, "conductor: unable to read the duties")
 	}
 	return end, nil
 }
--- a/transport/endpoints/conductor/conductor_test.go
+++ b/transport/endpoints/conductor/conductor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/leaser"
+	"github.com/hornbeamspan/hornbeamspan/parts/state/replicator"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/enlister"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
@@ -23,14 +24,22 @@
 type duties struct {
 	records []tailer.Record
 	after   func()
+	era     uint64
+}
+
+// forget has the log come back without its last n records.
+func (d *duties) forget(n int) {
+	d.records = d.records[:len(d.records)-n]
+	d.era++
 }
 
 func (d *duties) Newest(context.Context, string, string) (tailer.Page, error) {
 	newest := make(map[string]tailer.Record)
 	for _, r := range d.records {
+		r.Offset = replicator.Position(d.era, r.Offset)
 		newest[r.Key] = r
 	}
-	page := tailer.Page{End: uint64(len(d.records))}
+	page := tailer.Page{End: replicator.Position(d.era, uint64(len(d.records)))}
 	for _, r := range newest {
 		page.Records = append(page.Records, r)
 	}
@@ -39,14 +48,14 @@
 
 func (d *duties) Put(_ context.Context, _, key string, value []byte, end *uint64) (uint64, error) {
 	offset := uint64(len(d.records))
-	if *end != offset {
+	if *end != replicator.Position(d.era, offset) {
 		return 0, &HeldError{Duty: key}
 	}
 	d.records = append(d.records, tailer.Record{Key: key, Value: value, Offset: offset})
 	if d.after != nil {
 		d.after()
 	}
-	return offset, nil
+	return replicator.Position(d.era, offset), nil
 }
 
 // worker is an engine that carries out each order.
@@ -124,3 +133,35 @@
 	assert.Equal(t, "next", w.orders[0].Holder)
 	assert.Less(t, w.orders[1].Fence, w.orders[0].Fence, "the late one")
 }
+
+// The log comes back from a copy that is older than the record by which the first host took the duty: nothing in it tells
+// that this host may still give orders.
+func TestADutyWhoseRecordTheLogHasLostIsTakenByAnotherOnlyAfterTheWaitAndWithAGreaterFence(t *testing.T) {
+	for name, hasSeenDuty := range map[string]bool{"the duty is new": false, "an older record is left": true} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			log, w := &duties{}, &worker{}
+			holder, next := newConductor("holder", log, w, clock), newConductor("next", log, w, clock)
+			if hasSeenDuty {
+				require.NoError(t, newConductor("before", log, w, clock).Order(context.Background(), engine, enroller.Decode, 0))
+			}
+			for _, c := range []*Conductor{holder, next} {
+				_, err := c.look(context.Background())
+				require.NoError(t, err)
+			}
+			clock.Advance(lease.Wait())
+			require.NoError(t, holder.Order(context.Background(), engine, enroller.Prefill, 0))
+			given := len(w.orders)
+
+			log.forget(1)
+
+			var held *HeldError
+			require.ErrorAs(t, next.Order(context.Background(), engine, enroller.Decode, 1), &held)
+			clock.Advance(lease.Wait() - 1)
+			require.ErrorAs(t, next.Order(context.Background(), engine, enroller.Decode, 1), &held)
+			clock.Advance(1)
+			require.NoError(t, next.Order(context.Background(), engine, enroller.Decode, 1))
+			assert.Greater(t, w.orders[given].Fence, w.orders[given-1].Fence)
+		})
+	}
+}
--- a/transport/eventer/eventer.go
+++ b/transport/eventer/eventer.go
@@ -23,6 +23,7 @@
 	LibraryNote     = Event{105, "note of a library"}
 	LogUnreachable  = Event{201, "log unreachable"}
 	LogRegained     = Event{204, "log reached again"}
+	LogReturned     = Event{207, "log returned from an older copy"}
 	StreamExpired   = Event{202, "records expired before they were read"}
 	RecordDamaged   = Event{203, "record unreadable"}
 	SourceChanged   = Event{205, "source of the log changed"}
@@ -67,7 +68,7 @@
 
 // Events lists every event.
 var Events = []Event{
-	Started, Draining, Stopped, LibraryNote, LogUnreachable, LogRegained, StreamExpired, RecordDamaged,
+	Started, Draining, Stopped, LibraryNote, LogUnreachable, LogRegained, LogReturned, StreamExpired, RecordDamaged,
 	SourceChanged, SourceFailed,
 	RulesInForce, RulesStalled, RulesFromPeer, HostState, PeerRefused, ClaimUnknown, CallUnknown, AppendDeferred,
 	EngineGone, ReleaseRetried, EndpointLeaving, Convicted, Reaped, EndpointChanged, EndpointGone, StageOrdered,
--- a/transport/store/introducer/introducer.go
+++ b/transport/store/introducer/introducer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -56,6 +57,9 @@
 // Introducer writes where this host can be reached, and reads where others can.
 type Introducer struct {
 	options Options
+	// written is set while the own entry is in the log.
+	written atomic.Bool
+	era     atomic.Uint64
 	done    chan struct{}
 }
 
@@ -65,6 +69,13 @@
 // Done is closed once Run has returned.
 func (i *Introducer) Done() <-chan struct{} { return i.done }
 
+// SeeEra takes in the era of the log that a reading has shown. In a new one the own entry may be gone.
+func (i *Introducer) SeeEra(era uint64) {
+	if i.era.Swap(era) != era {
+		i.written.Store(false)
+	}
+}
+
 // entry is the value of a host's key.
 type entry struct {
 	Address netip.AddrPort `json:"address"`
@@ -74,11 +85,10 @@
 // ends.
 func (i *Introducer) Run(ctx context.Context) {
 	defer close(i.done)
-	isWritten := false
 	for i.sleep(ctx, lookAfter) {
 		isAlone := i.options.Hosts.Met() == 0
-		if !isWritten && (isAlone || i.isIntroducer()) {
-			isWritten = i.write(ctx) == nil
+		if !i.written.Load() && (isAlone || i.isIntroducer()) {
+			i.written.Store(i.write(ctx) == nil)
 		}
 		if isAlone {
 			i.look(ctx)
--- a/transport/store/tailer/tailer.go
+++ b/transport/store/tailer/tailer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -46,6 +47,17 @@
 
 func (e *ExpiredError) Error() string { return "tailer: records of " + e.Topic + " expired unread" }
 
+// ReturnedError reports a log that came back from an older copy of itself: what it acknowledged since the copy is gone.
+type ReturnedError struct {
+	Topic string
+	// Era counts the returns.
+	Era uint64
+}
+
+func (e *ReturnedError) Error() string {
+	return fmt.Sprintf("tailer: the log came back from an older copy while %s was read, for the %d. time", e.Topic, e.Era)
+}
+
 // Sink takes what was read. Its methods are called by one goroutine.
 type Sink interface {
 	// Record takes one record.
@@ -63,7 +75,9 @@
 	Topic string
 	Sink  Sink
 	// Wait is how long a call waits for records; 0 asks at once.
-	Wait  time.Duration
+	Wait time.Duration
+	// OnEra is told of the era of each listing, nil for nobody.
+	OnEra func(era uint64)
 	Clock clockwork.Clock
 	Logs  hclog.Logger
 }
@@ -73,6 +87,8 @@
 	options Options
 	from    uint64
 	listed  bool
+	// follows is set once the topic was listed.
+	follows bool
 	lost    bool
 	done    chan struct{}
 }
@@ -134,9 +150,16 @@
 	if err != nil {
 		return err
 	}
+	if t.follows && replicator.Era(end) > replicator.Era(t.from) {
+		// Writers that live write again what was lost, so that a key that is missing now says nothing yet.
+		t.note(&ReturnedError{Topic: t.options.Topic, Era: replicator.Era(end)})
+	}
 	t.from = end
-	t.listed = true
+	t.listed, t.follows = true, true
 	t.options.Sink.Listed(keys, end)
+	if t.options.OnEra != nil {
+		t.options.OnEra(replicator.Era(end))
+	}
 	return nil
 }
 
@@ -157,6 +180,9 @@
 		if first {
 			end, first = page.End, false
 		}
+		if era := replicator.Era(page.End); era != replicator.Era(end) {
+			return 0, &ReturnedError{Topic: topic, Era: era}
+		}
 		for _, r := range page.Records {
 			after = r.Key
 			take(r)
