Bound what endpoints send without end: heads, answers, all answers together, events

Cause: an endpoint in trouble may send bytes without end. Change: 64 KiB for a head, interim answers included; beyond its first 64 KiB each answer draws on an eighth of the host's memory; 64 KiB for an event, of which no part is passed on. The caller gets 502, the endpoint is judged, the connection closed.

--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -94,3 +97,68 @@
 		r.close()
 	}
 }
+
+// hostMemory is the memory of a small host in bytes.
+const hostMemory = 120 << 20
+
+// peakMemory returns the most memory that is in use while f runs.
+func peakMemory(f func()) uint64 {
+	debug.FreeOSMemory()
+	done := make(chan struct{})
+	var sampling sync.WaitGroup
+	var most uint64
+	sampling.Go(func() {
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapInuse)
+			select {
+			case <-done:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	})
+	f()
+	close(done)
+	sampling.Wait()
+	return most
+}
+
+// Servers in trouble may send without end until the caller closes. Other requests are served all the while.
+func TestBytesWithoutEndAreGivenUpAndOthersServedMeanwhile(t *testing.T) {
+	const atOnce = 200
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memoryShare * hostMemory))
+	for _, fault := range []platformer.Fault{platformer.EndlessHead, platformer.EndlessBody} {
+		t.Run(string(fault), func(t *testing.T) {
+			r := newRig(t, sizes{hosts: 1, desk: 1, prefill: 1, decode: 1})
+			r.started()
+			r.desk[0].SetFault(fault)
+			peak := peakMemory(func() {
+				var wait sync.WaitGroup
+				for range atOnce {
+					wait.Go(func() {
+						got := r.call(0, http.MethodPost, "/submit/", "one invoice")
+						assert.Equal(t, http.StatusBadGateway, got.status, "it may have run")
+					})
+				}
+				for range 5 {
+					assert.True(t, r.call(0, http.MethodPost, "/brief/x", "b").whole)
+				}
+				wait.Wait()
+			})
+			assert.Less(t, peak, uint64(hostMemory), "the stand-ins counted")
+			assert.Len(t, runs(r.desk), atOnce, "none ran twice")
+		})
+	}
+}
+
+func TestAnEventWithoutEndIsGivenUpAndNoPartOfItIsPassedOn(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	r.decode[0].SetFault(platformer.EndlessEvent)
+	got := r.call(0, http.MethodPost, "/brief/x", "b")
+	assert.False(t, got.whole && got.status == http.StatusOK)
+	assert.NotContains(t, got.body, "data: x")
+	r.awaitMemory()
+}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -130,6 +130,7 @@
 		DirectoryRoute: platform.DirectoryRoute,
 		Grace:          s.Grace, AddressLifetime: s.AddressLifetime, ApplyTime: s.ApplyTime, ContactTime: s.ContactTime,
 		Lease:          leaser.Config{Lease: s.Lease, Margin: s.Thaw},
+		MemoryBytes:    s.MemoryBytes,
 		Retry:          retryBudget(s),
 		MaxConnections: int(connectionShare * float64(s.MaxFiles)),
 	}
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -158,7 +158,7 @@
 control = %q
 directory = %q
 [limits]
-memoryMb = 512
+memoryMb = 120
 maxFds = %d
 [bounds]
 contactMs = 600
--- a/lab/platformer/endpoint.go
+++ b/lab/platformer/endpoint.go
@@ -38,6 +38,10 @@
 	Hang Fault = "hang"
 	// Noise answers with bytes that are no answer.
 	Noise Fault = "noise"
+	// EndlessHead and EndlessBody send bytes without end, EndlessEvent an event without end, until the caller closes.
+	EndlessHead  Fault = "endless head"
+	EndlessBody  Fault = "endless body"
+	EndlessEvent Fault = "endless event"
 	// Unframed gives answers no length: their end is that of the connection.
 	Unframed Fault = "unframed"
 	// Reset resets the connection in the middle of an answer without a length.
@@ -337,6 +341,9 @@
 		_, _ = io.WriteString(conn, "\x00\xff wrong bytes\r\n\r\n")
 		return
 	}
+	if sendEndless(conn, id, fault) {
+		return
+	}
 	body := e.wholeBody()
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal.%s\r\nConnection: close\r\n\r\n", id, e.cfg.ID)
 	if fault == Unframed {
@@ -348,6 +355,27 @@
 	_ = conn.(*net.TCPConn).SetLinger(0)
 }
 
+// sendEndless sends what a fault has without end, and returns false for the other faults.
+func sendEndless(conn net.Conn, id string, fault Fault) bool {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n"
+	piece := strings.Repeat("x", 16<<10)
+	switch fault {
+	case EndlessHead:
+		piece = "X-More: " + piece + "\r\n"
+	case EndlessBody:
+		head += "Connection: close\r\n\r\n"
+	case EndlessEvent:
+		head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: "
+	default:
+		return false
+	}
+	_, err := io.WriteString(conn, head)
+	for err == nil {
+		_, err = io.WriteString(conn, piece)
+	}
+	return true
+}
+
 // resetAfter is the time that the part of an answer before a reset has to arrive.
 const resetAfter = 20 * time.Millisecond
 
@@ -407,7 +435,7 @@
 	case Extra:
 		answerTwice(w, id)
 		return
-	case Noise, Unframed, Reset:
+	case Noise, Unframed, Reset, EndlessHead, EndlessBody, EndlessEvent:
 		e.answerRaw(w, id, fault)
 		return
 	case Healthy, Refuse, Fail, Cut, Early:
--- a/transport/assembler/routing.go
+++ b/transport/assembler/routing.go
@@ -86,6 +86,8 @@
 
 	// Grace is the time from a stop to the end of the process.
 	Grace time.Duration
+	// MemoryBytes is what the process may use, 0 if that is not known.
+	MemoryBytes int64
 	// AddressLifetime is the longest time that callers may be told to keep addresses.
 	AddressLifetime time.Duration
 	// ApplyTime is how soon a configuration or a leaving endpoint must be followed.
@@ -114,6 +116,8 @@
 	blindAfter = time.Second
 	// endpointsLost is the number of endpoints that a request may crash before no host sends it on any more.
 	endpointsLost = 3
+	// bufferShare is the part of the memory that answers of endpoints may take together while they are read.
+	bufferShare = 0.125
 	// maxAddresses is how many addresses callers are told.
 	maxAddresses = 64
 	// drainPoll is the time between two looks at the requests in flight.
@@ -197,7 +201,8 @@
 	h.endpoints.OnLeaving(h.places.TellLeaving)
 	h.sender = sender.New(sender.Options{
 		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: h.endpoints, Isolator: isolate, Hosts: h.sharers, Retry: cfg.Retry,
-		Clock: clock, Random: h.random("sender", incarnation), Logs: logs, Scope: h.meter.Scope,
+		BufferBytes: int64(bufferShare * float64(cfg.MemoryBytes)),
+		Clock:       clock, Random: h.random("sender", incarnation), Logs: logs, Scope: h.meter.Scope,
 	})
 	h.router = router.New(router.Options{
 		Dialect: cfg.Dialect, Sender: h.sender, Engines: cfg.Engines, Places: h.places,
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -18,6 +19,18 @@
 // readSize is the size of the buffer for events in bytes; most events are smaller.
 const readSize = 4 << 10
 
+// maxEvent bounds an event in bytes: whoever sends more without its end sends none.
+const maxEvent = 64 << 10
+
+// EventError reports an event that is too long.
+type EventError struct {
+	Read int
+}
+
+func (e *EventError) Error() string {
+	return fmt.Sprintf("router: an event has no end after %d bytes", e.Read)
+}
+
 // paceEvents is the number of events over which the pace of a stream is measured.
 const paceEvents = 12
 
@@ -32,6 +45,9 @@
 	for {
 		line, err := s.r.ReadSlice('\n')
 		event = append(event, line...)
+		if len(event) > maxEvent {
+			return nil, id, &EventError{Read: len(event)}
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -27,6 +27,8 @@
 	probes      = 2
 	// idleConnections is how many unused connections to one endpoint are kept.
 	idleConnections = 64
+	// maxHeadBytes bounds the head of an answer, interim answers included.
+	maxHeadBytes = 64 << 10
 )
 
 // Client sends requests to endpoints and the platform.
@@ -42,6 +44,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	})
 }
 
@@ -53,6 +57,8 @@
 		DialContext:        connect(),
 		DisableCompression: true,
 		DisableKeepAlives:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	})
 }
 
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -18,8 +17,6 @@
 )
 
 const (
-	// maxAnswer bounds the bytes of an answer that is passed on whole.
-	maxAnswer = 16 << 20
 	// crashPause is the time that a crashed endpoint takes to close its socket.
 	crashPause = 50 * time.Millisecond
 	// crashTimeout is how long an endpoint may take to accept a connection before it counts as crashed.
@@ -190,10 +187,7 @@
 // *SendError: a part of an answer is none.
 func (x *Sender) Whole(ctx context.Context, j *Job, e *enlister.Endpoint, resp *http.Response, begun time.Time) (*Reply, error) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = errors.New("the answer is too long")
-	}
+	body, err := x.buffers.readAll(resp.Body)
 	if err != nil {
 		return nil, x.BrokenOff(ctx, j, e, err.Error())
 	}
--- a/transport/endpoints/sender/sender.go
+++ b/transport/endpoints/sender/sender.go
@@ -27,18 +27,21 @@
 	Endpoints  *enlister.Enlister
 	Isolator   *isolator.Isolator
 	// Hosts returns the number of hosts that share the budget of extra sends; 0 if it is not known yet.
-	Hosts  func() int
-	Retry  RetryBudget
-	Clock  clockwork.Clock
-	Random *rand.Rand
-	Logs   hclog.Logger
-	Scope  tally.Scope
+	Hosts func() int
+	Retry RetryBudget
+	// BufferBytes bounds the answers that are read at one time; 0 stands for 64 MiB.
+	BufferBytes int64
+	Clock       clockwork.Clock
+	Random      *rand.Rand
+	Logs        hclog.Logger
+	Scope       tally.Scope
 }
 
 // Sender sends the requests of one host.
 type Sender struct {
 	Options
 	client   *dialer.Client
+	buffers  buffers
 	noBudget tally.Counter
 	mu       sync.Mutex
 	budgets  map[string]*limiter.Window
@@ -46,8 +49,11 @@
 
 // New returns a Sender.
 func New(o Options) *Sender {
+	if o.BufferBytes <= 0 {
+		o.BufferBytes = defaultBufferBytes
+	}
 	return &Sender{
-		Options: o, client: dialer.NewOnce("endpoints", nil), budgets: make(map[string]*limiter.Window),
+		Options: o, buffers: buffers{most: o.BufferBytes}, client: dialer.NewOnce("endpoints", nil), budgets: make(map[string]*limiter.Window),
 		noBudget: o.Scope.Counter("resends_without_budget"),
 	}
 }
