--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -162,3 +162,45 @@
 	assert.NotContains(t, got.body, "data: x")
 	r.awaitMemory()
 }
+
+func TestAStreamThatSendsAByteNowAndThenEndsAtItsRoutesTimeout(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	r.decode[0].SetFault(platformer.Drip)
+	begun := time.Now()
+	got := r.call(0, http.MethodPost, "/brief/x", "b")
+	assert.False(t, got.whole && got.status == http.StatusOK)
+	assert.NotContains(t, got.body, "data: x")
+	const timeout = 3 * time.Second // of the rig's routes
+	assert.InDelta(t, timeout.Seconds(), time.Since(begun).Seconds(), 0.5)
+	r.awaitMemory()
+}
+
+func TestASlowButSoundStreamIsNotCut(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.started()
+	r.decode[0].SetFault(platformer.Slow)
+	got := r.call(0, http.MethodPost, "/brief/x", "b")
+	assert.True(t, got.whole)
+	assert.Equal(t, platformer.Events(events), got.body)
+}
+
+// The entry of an engine goes while the engine runs on: it was silent for a while, or its announcements were.
+func TestARunOfAnEngineWhoseEntryIsGoneIsNeitherCutNorStartedAgain(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 2})
+	r.started()
+	for _, e := range r.decode {
+		e.SetFault(platformer.Slow)
+	}
+	var got reply
+	var wait sync.WaitGroup
+	wait.Go(func() { got = r.call(0, http.MethodPost, "/scope/x", "b") })
+	r.await("the run", func() bool { return len(runs(r.decode)) == 1 })
+	for _, e := range r.decode {
+		e.Vanish()
+	}
+	wait.Wait()
+	assert.True(t, got.whole)
+	assert.Equal(t, platformer.Events(events), got.body)
+	assert.Len(t, runs(r.decode), 1)
+}
--- a/lab/platformer/endpoint.go
+++ b/lab/platformer/endpoint.go
@@ -42,6 +42,9 @@
 	EndlessHead  Fault = "endless head"
 	EndlessBody  Fault = "endless body"
 	EndlessEvent Fault = "endless event"
+	// Drip sends a byte of an event now and then, and no end. Slow makes its events further apart than routes want.
+	Drip Fault = "drip"
+	Slow Fault = "slow"
 	// Unframed gives answers no length: their end is that of the connection.
 	Unframed Fault = "unframed"
 	// Reset resets the connection in the middle of an answer without a length.
@@ -364,18 +367,33 @@
 		piece = "X-More: " + piece + "\r\n"
 	case EndlessBody:
 		head += "Connection: close\r\n\r\n"
-	case EndlessEvent:
+	case EndlessEvent, Drip:
 		head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: "
 	default:
 		return false
 	}
 	_, err := io.WriteString(conn, head)
+	if fault == Drip {
+		piece = "x"
+	}
 	for err == nil {
 		_, err = io.WriteString(conn, piece)
+		if fault == Drip {
+			time.Sleep(dripPause)
+		}
 	}
 	return true
 }
 
+// dripPause is the time between two bytes of a Drip, slowPause that between the first events of a Slow stream.
+const (
+	dripPause = 20 * time.Millisecond
+	slowPause = 400 * time.Millisecond
+)
+
+// slowEvents is the number of events of a Slow stream that come late.
+const slowEvents = 3
+
 // resetAfter is the time that the part of an answer before a reset has to arrive.
 const resetAfter = 20 * time.Millisecond
 
@@ -435,10 +453,10 @@
 	case Extra:
 		answerTwice(w, id)
 		return
-	case Noise, Unframed, Reset, EndlessHead, EndlessBody, EndlessEvent:
+	case Noise, Unframed, Reset, EndlessHead, EndlessBody, EndlessEvent, Drip:
 		e.answerRaw(w, id, fault)
 		return
-	case Healthy, Refuse, Fail, Cut, Early:
+	case Healthy, Refuse, Fail, Cut, Early, Slow:
 	}
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Seal", "seal."+e.cfg.ID)
--- a/lab/platformer/engine.go
+++ b/lab/platformer/engine.go
@@ -168,8 +168,12 @@
 			return
 		}
 		_ = control.Flush()
+		pace := e.cfg.Pace
+		if fault == Slow && i <= last+slowEvents {
+			pace = slowPause
+		}
 		select {
-		case <-time.After(e.cfg.Pace):
+		case <-time.After(pace):
 		case <-r.Context().Done():
 			return
 		}
