Name what the admission keeps: paces of any event, rejections, deferring; one return for each refusal

A refusal is remembered for one return, and not at all for requests without a fingerprint: other callers with the same request would count as late.

--- a/parts/coordination/placer/capacity.go
+++ b/parts/coordination/placer/capacity.go
@@ -10,10 +10,10 @@
 // capacityPeriod is how long a capacity stands: to work it out takes as long as placing dozens of requests.
 const capacityPeriod = 250 * time.Millisecond
 
-// admitShare is the part of the time to its target within which a request is admitted or put behind those in time.
+// admitShare is the part of the time to its target within which a request is admitted or deferred.
 const admitShare = 0.125
 
-// isAdmitted tells whether a request has waited too long to be put behind others.
+// isAdmitted tells whether a request has waited too long to be deferred.
 func (r Request) isAdmitted(now time.Time) bool {
 	return now.Sub(r.Arrived) > share(admitShare, r.FirstBy.Sub(r.Arrived))
 }
@@ -27,13 +27,13 @@
 	at    time.Time
 }
 
-// capacity returns what the engines in use can serve.
-func (p *Placer) capacity(now time.Time) capacity {
-	if age := now.Sub(p.known.at); age < 0 || age >= capacityPeriod {
-		p.known = p.measureCapacity(now)
-		p.known.at = now
+// updateCapacity returns what the engines in use can serve, measured anew if it was long ago.
+func (p *Placer) updateCapacity(now time.Time) capacity {
+	if age := now.Sub(p.capacity.at); age < 0 || age >= capacityPeriod {
+		p.capacity = p.measureCapacity(now)
+		p.capacity.at = now
 	}
-	return p.known
+	return p.capacity
 }
 
 func (p *Placer) measureCapacity(now time.Time) capacity {
@@ -73,9 +73,9 @@
 	return time.Duration(work(j) / max(1, c.usual) / c.rate * float64(time.Second))
 }
 
-// postpone has those be late who cannot all be served in time: the fewest, the largest first. The list is in the order in
-// which it is served.
-func (c capacity) postpone(now time.Time, list []Request) {
+// deferSome puts those behind the others who cannot all be served in time: the fewest, the largest first. The list is in
+// the order in which it is served.
+func (c capacity) deferSome(now time.Time, list []Request) {
 	var works []queuer.Work
 	for _, r := range list {
 		if !r.IsLate(now) {
--- a/parts/coordination/placer/placer.go
+++ b/parts/coordination/placer/placer.go
@@ -53,7 +53,7 @@
 	packer.Job
 	queuer.Item
 	DataCentre string
-	// Fingerprint is the same when a refused caller comes back.
+	// Fingerprint is the same when a refused caller comes back, 0 if it is not known.
 	Fingerprint uint64
 	// FirstBy is when the first event must come for an answer within the target. The last moment for a place in time
 	// follows from it.
@@ -90,22 +90,23 @@
 	readers *packer.Readers
 	placed  queuer.Pace
 	arrived queuer.Pace
-	known   capacity
-	pace    packer.Pace
-	sizes   sizes
-	stager  stager.Stager
-	lead    lead
-	changes map[string]change
+	// capacity is as last measured.
+	capacity capacity
+	pace     packer.Pace
+	sizes    sizes
+	stager   stager.Stager
+	lead     lead
+	changes  map[string]change
 	// paused tells until when an engine is not used.
 	paused map[string]time.Time
 	// reading tells until when a decode engine reads a prompt itself, for want of a reading engine.
 	reading map[string]time.Time
-	// refused are requests whose callers may come back, by fingerprint.
-	refused map[uint64]refused
+	// rejected are refused requests whose callers may come back, by fingerprint.
+	rejected map[uint64]rejection
 }
 
-// refused is a request that was refused.
-type refused struct {
+// rejection is what is remembered of a refused request.
+type rejection struct {
 	firstBy time.Time
 	// until is how long its caller counts as one who comes back.
 	until time.Time
@@ -115,7 +116,7 @@
 func New(random *rand.Rand) *Placer {
 	return &Placer{
 		random: random, packer: packer.New(confidence), readers: packer.NewReaders(), lead: newLead(), changes: make(map[string]change),
-		paused: make(map[string]time.Time), reading: make(map[string]time.Time), refused: make(map[uint64]refused),
+		paused: make(map[string]time.Time), reading: make(map[string]time.Time), rejected: make(map[uint64]rejection),
 	}
 }
 
@@ -136,13 +137,14 @@
 	}
 }
 
-// Asked learns from a request that is new, and returns it with what is known of it if its caller comes back after a
-// refusal: its answer was due as long ago as the first time.
+// Asked learns from a request that is new, and returns it with what is known of it. The answer to a caller who comes back
+// after a refusal was due when the first one was.
 func (p *Placer) Asked(now time.Time, r Request) Request {
-	if before, ok := p.refused[r.Fingerprint]; ok {
+	if before, ok := p.rejected[r.Fingerprint]; ok {
 		r.Returned, r.FirstBy = true, before.firstBy
+		delete(p.rejected, r.Fingerprint) // the next one like it is another caller's
 	}
-	p.arrived.Placed(now)
+	p.arrived.Note(now)
 	p.sizes.asked(r.Job)
 	p.packer.Asked(r.Job)
 	return r
@@ -152,7 +154,7 @@
 func (p *Placer) Hold(r Request) int { return r.Prompt + holdMargin*p.service.Stride }
 
 // Held takes in that the engine of a place has reserved it.
-func (p *Placer) Held(now time.Time) { p.placed.Placed(now) }
+func (p *Placer) Held(now time.Time) { p.placed.Note(now) }
 
 // NotHeld takes in that the engine of a place has not reserved it. isFull tells that it has no room.
 func (p *Placer) NotHeld(now time.Time, place Place, isFull bool) {
@@ -248,5 +250,5 @@
 	for _, m := range []map[string]time.Time{p.paused, p.reading} {
 		maps.DeleteFunc(m, func(_ string, until time.Time) bool { return now.After(until) })
 	}
-	maps.DeleteFunc(p.refused, func(_ uint64, r refused) bool { return now.After(r.until) })
+	maps.DeleteFunc(p.rejected, func(_ uint64, r rejection) bool { return now.After(r.until) })
 }
--- a/parts/coordination/placer/placer_test.go
+++ b/parts/coordination/placer/placer_test.go
@@ -384,6 +384,11 @@
 	assert.True(t, again.Returned)
 	assert.True(t, again.FirstBy.Before(anew.FirstBy), "due as long ago as the first time")
 	assert.Empty(t, p.Plan(now, []Request{again}).Refused)
+	assert.False(t, p.Asked(now, anew).Returned, "one refusal, one return")
+	p.refuse(now, again, "", 0)
 	p.Expire(now.Add(time.Minute))
 	assert.False(t, p.Asked(now, anew).Returned, "much later it is another request")
+	anew.Fingerprint = 0
+	p.refuse(now, anew, "", 0)
+	assert.False(t, p.Asked(now, anew).Returned, "of a host that tells no fingerprint")
 }
--- a/parts/coordination/placer/plan.go
+++ b/parts/coordination/placer/plan.go
@@ -40,9 +40,9 @@
 	s.setOnTime(list)
 	byRank := func(r Request) queuer.Item { return r.Item }
 	queuer.Sort(now, list, byRank)
-	capacity := p.capacity(now)
-	if capacity.rate > 0 {
-		capacity.postpone(now, list)
+	c := p.updateCapacity(now)
+	if c.rate > 0 {
+		c.deferSome(now, list)
 		queuer.Sort(now, list, byRank)
 	}
 	left := list[:0]
@@ -55,7 +55,7 @@
 		plan.Places = append(plan.Places, place)
 	}
 	if s.hasMissed() {
-		plan.Refused = append(plan.Refused, p.refuseUnservable(now, left, capacity)...)
+		plan.Refused = append(plan.Refused, p.refuseUnservable(now, left, c)...)
 	}
 	return plan
 }
@@ -91,12 +91,14 @@
 
 // refuse tells a request to come back when those ahead have their places. Returns are spread.
 func (p *Placer) refuse(now time.Time, r Request, reason string, ahead int) Refusal {
-	wait, ok := p.waitOf(now, ahead+1, p.known)
+	wait, ok := p.waitOf(now, ahead+1, p.capacity)
 	if !ok {
 		wait = maxReturn
 	}
 	wait = min(max(wait, minReturn), maxReturn)
 	wait = time.Duration(float64(wait) * (1 + returnSpread*p.random.Float64()))
-	p.refused[r.Fingerprint] = refused{firstBy: r.FirstBy, until: now.Add(wait + returnSlack)}
+	if r.Fingerprint != 0 {
+		p.rejected[r.Fingerprint] = rejection{firstBy: r.FirstBy, until: now.Add(wait + returnSlack)}
+	}
 	return Refusal{ID: r.ID, Reason: reason, Wait: wait}
 }
