--- a/transport/store/introducer/introducer.go
+++ b/transport/store/introducer/introducer.go
@@ -14,6 +14,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/parts/state/replicator"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventer"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
@@ -57,9 +58,9 @@
 // Introducer writes where this host can be reached, and reads where others can.
 type Introducer struct {
 	options Options
-	// written is set while the own entry is in the log.
-	written atomic.Bool
+	// era is the newest that was seen, written the one after that of the own entry, 0 if there is none.
 	era     atomic.Uint64
+	written atomic.Uint64
 	done    chan struct{}
 }
 
@@ -70,11 +71,9 @@
 func (i *Introducer) Done() <-chan struct{} { return i.done }
 
 // SeeEra takes in the era of the log that a reading has shown. In a new one the own entry may be gone.
-func (i *Introducer) SeeEra(era uint64) {
-	if i.era.Swap(era) != era {
-		i.written.Store(false)
-	}
-}
+func (i *Introducer) SeeEra(era uint64) { i.era.Store(era) }
+
+func (i *Introducer) isWritten() bool { return i.written.Load() > i.era.Load() }
 
 // entry is the value of a host's key.
 type entry struct {
@@ -87,8 +86,8 @@
 	defer close(i.done)
 	for i.sleep(ctx, lookAfter) {
 		isAlone := i.options.Hosts.Met() == 0
-		if !i.written.Load() && (isAlone || i.isIntroducer()) {
-			i.written.Store(i.write(ctx) == nil)
+		if !i.isWritten() && (isAlone || i.isIntroducer()) {
+			i.write(ctx)
 		}
 		if isAlone {
 			i.look(ctx)
@@ -116,17 +115,19 @@
 	}
 }
 
-func (i *Introducer) write(ctx context.Context) error {
+func (i *Introducer) write(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	value, err := json.Marshal(entry{Address: i.options.Address})
+	var position uint64
 	if err == nil {
-		_, err = i.options.Store.Put(ctx, i.options.Topic, i.options.Host, value, nil)
+		position, err = i.options.Store.Put(ctx, i.options.Topic, i.options.Host, value, nil)
 	}
 	if err != nil {
 		eventer.Warn(i.options.Logs, eventer.NotIntroduced, "host", i.options.Host, "error", err.Error())
+		return
 	}
-	return err
+	i.written.Store(replicator.Era(position) + 1)
 }
 
 // look takes the entries of other hosts as seeds. They may be of hosts that are gone.
