--- a/lab/platformer/endpoint.go
+++ b/lab/platformer/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -320,83 +319,6 @@
 	e.run(w, r, string(body), fault)
 }
 
-// answerTwice answers a request and one that was never sent, in one go.
-func answerTwice(w http.ResponseWriter, id string) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	for _, to := range []string{id, "another"} {
-		body := "answer to " + to
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", to, len(body), body)
-	}
-}
-
-// answerRaw writes an answer on the bare connection.
-func (e *Endpoint) answerRaw(w http.ResponseWriter, id string, fault Fault) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	if fault == Noise {
-		_, _ = io.WriteString(conn, "\x00\xff wrong bytes\r\n\r\n")
-		return
-	}
-	if sendEndless(conn, id, fault) {
-		return
-	}
-	body := e.wholeBody()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal.%s\r\nConnection: close\r\n\r\n", id, e.cfg.ID)
-	if fault == Unframed {
-		_, _ = io.WriteString(conn, head+body)
-		return
-	}
-	_, _ = io.WriteString(conn, head+body[:len(body)/2])
-	time.Sleep(resetAfter)
-	_ = conn.(*net.TCPConn).SetLinger(0)
-}
-
-// sendEndless sends what a fault has without end, and returns false for the other faults.
-func sendEndless(conn net.Conn, id string, fault Fault) bool {
-	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n"
-	piece := strings.Repeat("x", 16<<10)
-	switch fault {
-	case EndlessHead:
-		piece = "X-More: " + piece + "\r\n"
-	case EndlessBody:
-		head += "Connection: close\r\n\r\n"
-	case EndlessEvent, Drip:
-		head += "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: "
-	default:
-		return false
-	}
-	_, err := io.WriteString(conn, head)
-	if fault == Drip {
-		piece = "x"
-	}
-	for err == nil {
-		_, err = io.WriteString(conn, piece)
-		if fault == Drip {
-			time.Sleep(dripPause)
-		}
-	}
-	return true
-}
-
-// dripPause is the time between two bytes of a Drip, slowPause that between the first events of a Slow stream.
-const (
-	dripPause = 20 * time.Millisecond
-	slowPause = 400 * time.Millisecond
-)
-
-// slowEvents is the number of events of a Slow stream that come late.
-const slowEvents = 3
-
-// resetAfter is the time that the part of an answer before a reset has to arrive.
-const resetAfter = 20 * time.Millisecond
-
 // wholeBody returns the body of an answer without faults.
 func (e *Endpoint) wholeBody() string {
 	if e.cfg.Events > 0 {
--- a/lab/platformer/store.go
+++ b/lab/platformer/store.go
@@ -34,6 +34,12 @@
 
 func (t *topic) end() uint64 { return t.first + uint64(len(t.records)) }
 
+// signal wakes those who wait for a change.
+func (t *topic) signal() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 // Store keeps topics of one partition in memory.
 type Store struct {
 	server  *httptest.Server
@@ -152,8 +158,7 @@
 	s.down = down
 	if down {
 		for _, t := range s.topics {
-			close(t.changed)
-			t.changed = make(chan struct{})
+			t.signal()
 		}
 	}
 }
@@ -179,8 +184,7 @@
 			old = &topic{}
 		}
 		t.records, t.first = slices.Clone(old.records), old.first
-		close(t.changed)
-		t.changed = make(chan struct{})
+		t.signal()
 	}
 }
 
@@ -202,8 +206,7 @@
 	for key, value := range kept {
 		t.records = append(t.records, record{key: key, value: value})
 	}
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.signal()
 }
 
 func (s *Store) latest(name string) map[string][]byte {
@@ -234,8 +237,7 @@
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	t.records = append(t.records, record{key: key, value: value})
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.signal()
 	return t.end() - 1
 }
 
@@ -270,8 +272,7 @@
 		t.records = append(t.records, record{key: string(content[1 : 1+keyed]), value: append([]byte(nil), content[1+keyed:]...)})
 		body = body[4+n:]
 	}
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.signal()
 	if s.lost > 0 {
 		s.lost--
 		panic(http.ErrAbortHandler)
@@ -301,7 +302,7 @@
 		s.mu.Lock()
 	}
 	defer s.mu.Unlock()
-	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	w.Header().Set("Store-Era", strconv.Itoa(s.era)) // it may have come back meanwhile
 	if from < t.first || from > t.end() {
 		w.WriteHeader(http.StatusGone)
 		fmt.Fprintf(w, `{"first":%d}`, t.first)
--- a/lab/simulator/day.go
+++ b/lab/simulator/day.go
@@ -320,11 +320,10 @@
 		s.result.Broken++
 	case r.begun.Sub(r.Arrived)+s.Hop <= s.Target && !r.slow:
 		s.result.OnTime++
-		r.served = true
 	default:
 		s.result.Late++
-		r.served = true
 	}
+	r.served = !s.clock.now.After(r.Arrived.Add(s.Deadline))
 	s.clock.after(s.Hop, func() {
 		s.policy.ended(s.clock.now, r.ID, r.output)
 		s.look()
