One piece where the change had two: strong hosts, engines in use, the capacity, names of a trace

- Hosts with at least half of the strongest one's processor were picked by the same rule in delegator and in gossiper: ranker.Strong serves both.
- 'Not out and not changing its stage' stood three times in placer: isInUse.
- The capacity was handed on beside the one that the placer keeps; a queue was sorted a second time in each look, also when nobody had been deferred, which is nearly always.
Now only then.

--- a/parts/coordination/delegator/delegator.go
+++ b/parts/coordination/delegator/delegator.go
@@ -6,6 +6,7 @@
 package delegator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ranker"
@@ -17,8 +18,6 @@
 	// askedFor is how long a host goes on reading the log after others have asked it for changes. They ask several times
 	// a second.
 	askedFor = 3 * time.Second
-	// weakest is the part of the strongest candidate's processor share that a reader must have.
-	weakest = 0.5
 	// firstRetry and lastRetry bound the time between two tries of a log that is out of reach. It doubles from one to the
 	// other: hundreds of hosts that try would only add to an outage.
 	firstRetry = 4 * time.Second
@@ -103,31 +102,23 @@
 	return !d.asked.IsZero() && now.Sub(d.asked) < askedFor
 }
 
-// candidates returns the hosts that may read for this one. If none reaches the log, any of them may: it will tell when
-// the log is back.
+// candidates returns the strong hosts that may read for this one. If none reaches the log, any of them may: it will tell
+// when the log is back.
 func (d *Delegator) candidates(hosts []Host) []string {
 	var near []Host
-	connected := 0
 	for _, h := range hosts {
 		_, isCooling := d.cooling[h.Name]
 		if h.DataCentre == d.self.DataCentre && !isCooling && (!d.lost || h.Name != d.self.Name) {
 			near = append(near, h)
-			if !h.Disconnected {
-				connected++
-			}
 		}
 	}
-	most := 0
-	for _, h := range near {
-		if !h.Disconnected || connected == 0 {
-			most = max(most, h.Power)
-		}
+	isDisconnected := func(h Host) bool { return h.Disconnected }
+	if connected := slices.DeleteFunc(slices.Clone(near), isDisconnected); len(connected) > 0 {
+		near = connected
 	}
 	var names []string
-	for _, h := range near {
-		if (!h.Disconnected || connected == 0) && float64(h.Power) >= weakest*float64(most) {
-			names = append(names, h.Name)
-		}
+	for _, h := range ranker.Strong(near, func(h Host) int { return h.Power }) {
+		names = append(names, h.Name)
 	}
 	return names
 }
--- a/parts/coordination/placer/capacity.go
+++ b/parts/coordination/placer/capacity.go
@@ -27,13 +27,12 @@
 	at    time.Time
 }
 
-// updateCapacity returns what the engines in use can serve, measured anew if it was long ago.
-func (p *Placer) updateCapacity(now time.Time) capacity {
+// updateCapacity measures what the engines in use can serve, if that was long ago.
+func (p *Placer) updateCapacity(now time.Time) {
 	if age := now.Sub(p.capacity.at); age < 0 || age >= capacityPeriod {
 		p.capacity = p.measureCapacity(now)
 		p.capacity.at = now
 	}
-	return p.capacity
 }
 
 func (p *Placer) measureCapacity(now time.Time) capacity {
@@ -41,7 +40,7 @@
 	l.Readers, l.Generators = 0, 0
 	for _, e := range p.engines {
 		switch {
-		case e.Out || p.isChanging(now, e):
+		case !p.isInUse(now, e):
 		case e.Reads:
 			l.Readers++
 		default:
@@ -74,17 +73,23 @@
 }
 
 // deferSome puts those behind the others who cannot all be served in time: the fewest, the largest first. The list is in
-// the order in which it is served.
-func (c capacity) deferSome(now time.Time, list []Request) {
+// the order in which it is served; the result tells whether anybody was put behind.
+func (c capacity) deferSome(now time.Time, list []Request) bool {
+	if c.rate <= 0 {
+		return false
+	}
 	var works []queuer.Work
 	for _, r := range list {
 		if !r.IsLate(now) {
 			works = append(works, queuer.Work{Needs: c.needs(r.Job), Start: r.OnTime, Admitted: r.isAdmitted(now)})
 		}
 	}
+	isAny := false
 	for i, deferred := range queuer.Defer(now, works) {
 		if deferred {
 			list[i].OnTime = now.Add(-1)
+			isAny = true
 		}
 	}
+	return isAny
 }
--- a/parts/coordination/placer/plan.go
+++ b/parts/coordination/placer/plan.go
@@ -40,9 +40,8 @@
 	s.setOnTime(list)
 	byRank := func(r Request) queuer.Item { return r.Item }
 	queuer.Sort(now, list, byRank)
-	c := p.updateCapacity(now)
-	if c.rate > 0 {
-		c.deferSome(now, list)
+	p.updateCapacity(now)
+	if p.capacity.deferSome(now, list) {
 		queuer.Sort(now, list, byRank)
 	}
 	left := list[:0]
@@ -55,18 +54,18 @@
 		plan.Places = append(plan.Places, place)
 	}
 	if s.hasMissed() {
-		plan.Refused = append(plan.Refused, p.refuseUnservable(now, left, c)...)
+		plan.Refused = append(plan.Refused, p.refuseUnservable(now, left)...)
 	}
 	return plan
 }
 
 // refuseUnservable refuses those of the late who will not get a place any more.
-func (p *Placer) refuseUnservable(now time.Time, waiting []Request, c capacity) []Refusal {
+func (p *Placer) refuseUnservable(now time.Time, waiting []Request) []Refusal {
 	var refused []Refusal
 	ahead := 0
 	for _, r := range waiting {
 		if r.IsLate(now) && !r.Returned {
-			if wait, ok := p.waitOf(now, ahead, c); ok && now.Add(wait).After(r.Latest) {
+			if wait, ok := p.waitOf(now, ahead); ok && now.Add(wait).After(r.Latest) {
 				refused = append(refused, p.refuse(now, r, "no engine will have room in time", ahead))
 				continue
 			}
@@ -78,11 +77,11 @@
 
 // waitOf returns how long a late request waits with some ahead of it. Those who come meanwhile and can be served in time go
 // before it.
-func (p *Placer) waitOf(now time.Time, ahead int, c capacity) (time.Duration, bool) {
-	if c.rate <= 0 {
+func (p *Placer) waitOf(now time.Time, ahead int) (time.Duration, bool) {
+	if p.capacity.rate <= 0 {
 		return p.placed.Wait(now, ahead)
 	}
-	left := c.rate - p.arrived.Rate(now)
+	left := p.capacity.rate - p.arrived.Rate(now)
 	if left <= 0 {
 		return unservable, true
 	}
@@ -91,7 +90,7 @@
 
 // refuse tells a request to come back when those ahead have their places. Returns are spread.
 func (p *Placer) refuse(now time.Time, r Request, reason string, ahead int) Refusal {
-	wait, ok := p.waitOf(now, ahead+1, p.capacity)
+	wait, ok := p.waitOf(now, ahead+1)
 	if !ok {
 		wait = maxReturn
 	}
--- a/parts/coordination/placer/search.go
+++ b/parts/coordination/placer/search.go
@@ -52,15 +52,18 @@
 	return s
 }
 
+// isInUse tells whether an engine works in its stage, if it takes nothing at this moment.
+func (p *Placer) isInUse(now time.Time, e Engine) bool { return !e.Out && !p.isChanging(now, e) }
+
 // isOut tells whether an engine takes nothing at present.
 func (p *Placer) isOut(now time.Time, e Engine) bool {
-	return e.Out || now.Before(p.paused[e.ID]) || p.isChanging(now, e)
+	return !p.isInUse(now, e) || now.Before(p.paused[e.ID])
 }
 
 // hasReaders tells whether any engine reads prompts, if not at this moment.
 func (p *Placer) hasReaders(now time.Time) bool {
 	for _, e := range p.engines {
-		if e.Reads && !e.Out && !p.isChanging(now, e) {
+		if e.Reads && p.isInUse(now, e) {
 			return true
 		}
 	}
--- a/transport/endpoints/sender/trace.go
+++ b/transport/endpoints/sender/trace.go
@@ -16,8 +16,16 @@
 	t.steps = append(t.steps, fmt.Sprintf(format, args...))
 }
 
-// Set adds a name and a value.
-func (t *Trace) Set(key string, value any) { t.keys = append(t.keys, key, value) }
+// Set adds a name and a value, or gives the name a newer one.
+func (t *Trace) Set(key string, value any) {
+	for i := 0; i < len(t.keys); i += 2 {
+		if t.keys[i] == key {
+			t.keys[i+1] = value
+			return
+		}
+	}
+	t.keys = append(t.keys, key, value)
+}
 
 // Pairs returns names and values for a line of the log.
 func (t *Trace) Pairs() []any {
--- a/transport/hosts/gossiper/steady.go
+++ b/transport/hosts/gossiper/steady.go
@@ -16,9 +16,6 @@
 	// passAfter is how long a host must have been blind while most others see before it is passed over. In an outage of
 	// the log hosts notice its loss and its return at different moments, and homes must not move about for that.
 	passAfter = time.Second
-	// weakest is the part of the strongest host's processor share that a steady home must have: being one takes more of it
-	// than anything else that a host does.
-	weakest = 0.5
 )
 
 // steady returns the hosts that may be homes with much to learn. The caller holds mu.
@@ -37,21 +34,12 @@
 	candidates = slices.DeleteFunc(slices.Clone(candidates), func(m tracker.Member) bool {
 		return m.Incarnation-oldest > uint64(cohort)
 	})
-	for _, m := range strong(candidates) {
+	for _, m := range ranker.Strong(candidates, func(m tracker.Member) int { return m.Power }) {
 		steady[m.Name] = m
 	}
 	return steady
 }
 
-// strong leaves out hosts with much less of a processor than the strongest.
-func strong(members []tracker.Member) []tracker.Member {
-	most := 0
-	for _, m := range members {
-		most = max(most, m.Power)
-	}
-	return slices.DeleteFunc(members, func(m tracker.Member) bool { return float64(m.Power) < weakest*float64(most) })
-}
-
 // seeing leaves out hosts that are blind while most others have been seeing for passAfter. The caller holds mu.
 func (g *Gossiper) seeing(now time.Time, members []tracker.Member) []tracker.Member {
 	blind := 0
