--- a/transport/endpoints/discoverer/discoverer.go
+++ b/transport/endpoints/discoverer/discoverer.go
@@ -14,6 +14,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/throttler"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
 	"github.com/hornbeamspan/hornbeamspan/transport/store/tailer"
 )
@@ -26,6 +27,7 @@
 	health   ejector.Health
 	// pausedUntil is the end of the pause in calls from this host that the endpoint requested.
 	pausedUntil time.Time
+	limit       throttler.Limit
 }
 
 // InFlight returns the number of calls from this host in progress.
@@ -273,8 +275,8 @@
 		old.Stage == ep.Stage && old.Leaving == ep.Leaving
 }
 
-// nextEndpoint returns old with its in-flight calls if ep is unchanged, or a new endpoint. The new one keeps health and
-// pause if it is the same incarnation at the same address.
+// nextEndpoint returns old with its in-flight calls if ep is unchanged, or a new endpoint. The new one keeps health,
+// pause and limit if it is the same incarnation at the same address.
 func (d *Discoverer) nextEndpoint(old *Endpoint, ep enroller.Endpoint, offset uint64) *Endpoint {
 	if isUnchanged(old, ep) {
 		return old
@@ -285,7 +287,7 @@
 	}
 	if old != nil && old.IncarnationStart.Equal(ep.IncarnationStart) && old.Address == ep.Address {
 		old.UpdateHealth(func(h *ejector.Health) { next.health = *h })
-		next.pausedUntil = old.PausedUntil()
+		next.pausedUntil, next.limit = old.PausedUntil(), old.Limit()
 	}
 	eventlogger.Info(d.logs, eventlogger.EndpointListed, "endpoint", ep.ID, "service", ep.Service, "address", ep.Address,
 		"zone", ep.DataCentre, "stage", ep.Stage.String(), "leaving", ep.Leaving, "offset", offset)
--- a/transport/endpoints/discoverer/notice.go
+++ b/transport/endpoints/discoverer/notice.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/throttler"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
 )
 
@@ -24,6 +25,11 @@
 	Pause time.Duration
 	// InvalidPause is the text of a pause that could not be parsed.
 	InvalidPause string
+	// Limit is the number of requests per second that the endpoint accepts from all hosts together, if HasLimit is set.
+	Limit    float64
+	HasLimit bool
+	// InvalidLimit is the text of a limit that could not be parsed.
+	InvalidLimit string
 }
 
 // PausedError reports an endpoint that requested a pause in calls from this host.
@@ -61,11 +67,53 @@
 	}
 }
 
+// Limit returns the rate limit that the endpoint has stated to this host.
+func (e *Endpoint) Limit() throttler.Limit {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limit
+}
+
+// updateLimit applies update to the limit, and returns the limit before and after.
+func (e *Endpoint) updateLimit(update func(throttler.Limit) throttler.Limit) (before, after throttler.Limit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before = e.limit
+	e.limit = update(before)
+	return before, e.limit
+}
+
+// ApplyAnswerLimit withdraws the limit of ep after an answer without one to a request sent at sentAt. Control calls are no
+// such requests.
+func (d *Discoverer) ApplyAnswerLimit(ep *Endpoint, n Notice, sentAt time.Time) {
+	if !n.HasLimit && n.InvalidLimit == "" {
+		d.changeLimit(ep, "answer", func(l throttler.Limit) throttler.Limit {
+			return l.Answer(throttler.Limit{ObservedAt: d.clock.Now()}, sentAt)
+		})
+	}
+}
+
+// changeLimit applies update to the limit of ep, and logs the change.
+func (d *Discoverer) changeLimit(ep *Endpoint, source string, update func(throttler.Limit) throttler.Limit) {
+	before, after := ep.updateLimit(update)
+	if before.IsSame(after) {
+		return
+	}
+	d.countNotice("limit")
+	eventlogger.Info(d.logs, eventlogger.EndpointLimited, "endpoint", ep.ID, "service", ep.Service, "limited", after.IsSet,
+		"per_second", after.PerSecond, "before", before.PerSecond, "source", source)
+}
+
 // ApplyNotice applies a notice of ep.
 func (d *Discoverer) ApplyNotice(ep *Endpoint, n Notice) {
 	now := d.clock.Now()
-	if n.InvalidPause != "" {
-		eventlogger.Warn(d.logs, eventlogger.NoticeInvalid, "endpoint", ep.ID, "service", ep.Service, "pause", n.InvalidPause)
+	if n.InvalidPause != "" || n.InvalidLimit != "" {
+		eventlogger.Warn(d.logs, eventlogger.NoticeInvalid, "endpoint", ep.ID, "service", ep.Service, "pause", n.InvalidPause, "limit", n.InvalidLimit)
+	}
+	if n.HasLimit {
+		d.changeLimit(ep, "answer", func(l throttler.Limit) throttler.Limit {
+			return l.Merge(throttler.Limit{IsSet: true, PerSecond: n.Limit, ObservedAt: now})
+		})
 	}
 	if n.Pause > 0 {
 		pause := min(n.Pause, maxPause)
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return nil, &SendError{Endpoint: e.ID, Outcome: NotSent, Reason: err.Error()}
 	}
+	sentAt := s.Clock.Now()
 	resp, sent, err := s.client.Do(r)
 	if err != nil {
 		return nil, s.classifyFailure(ctx, j, e, sent, err)
@@ -102,6 +103,9 @@
 	a := s.Dialect.Answer(resp, j.ID)
 	if resp.StatusCode != http.StatusMisdirectedRequest {
 		s.Endpoints.ApplyNotice(e, a.Notice)
+		if !a.IsForeign {
+			s.Endpoints.ApplyAnswerLimit(e, a.Notice, sentAt)
+		}
 	}
 	if a.NotRun {
 		_ = resp.Body.Close()
--- a/transport/eventlogger/eventlogger.go
+++ b/transport/eventlogger/eventlogger.go
@@ -50,6 +50,7 @@
 	OrderFailed       = Event{612, "engine order failed"}
 	EndpointPaused    = Event{613, "endpoint requested a pause"}
 	NoticeInvalid     = Event{614, "endpoint notice could not be parsed"}
+	EndpointLimited   = Event{615, "endpoint rate limit changed"}
 	SeedsUnreachable  = Event{404, "no seed reached"}
 	HostsDiscovered   = Event{405, "hosts discovered from the log"}
 	DiscoveryFailed   = Event{406, "host discovery from the log failed"}
@@ -72,7 +73,7 @@
 	SourceChanged, SourceFailed,
 	RulesInForce, RulesNotEvaluated, RulesFromPeer, HostState, PeerRefused, ClaimAbandoned, OutcomeUnknown, AppendDeferred,
 	EngineLost, ReleaseRetried, EndpointLeaving, RequestConvicted, OrphanCancelled, EndpointListed, EndpointRemoved, StageOrdered,
-	LeaseTaken, ReleaseFailed, StageSplitChosen, OrderFailed, EndpointPaused, NoticeInvalid, SeedsUnreachable, HostsDiscovered, DiscoveryFailed, OwnerUnresponsive, OwnerResponsive,
+	LeaseTaken, ReleaseFailed, StageSplitChosen, OrderFailed, EndpointPaused, NoticeInvalid, EndpointLimited, SeedsUnreachable, HostsDiscovered, DiscoveryFailed, OwnerUnresponsive, OwnerResponsive,
 	HostSuspended, AttemptFailed, Superseded, RequestEnded, SendFailed, ConnectionLimit, LinesDropped, SettingsReloaded, AuditAppendFailed,
 }
 
