--- a/internal/daemon/hosts_test.go
+++ b/internal/daemon/hosts_test.go
@@ -136,7 +136,7 @@
 		r := newRig(t, sizes{hosts: 2, plain: 1})
 		r.configureAndAwait()
 		r.frontends[0].SetMode(mode)
-		r.configure(newRoute("added", "/added/", "idempotent", "desk", nil))
+		r.configure(emulator.Route("added", "/added/", "idempotent", "desk", nil))
 		r.await("the new route, "+string(mode), func() bool {
 			return r.call(0, http.MethodGet, "/added/", "").status == http.StatusOK
 		})
@@ -150,7 +150,7 @@
 	r := newRig(t, sizes{hosts: 3, plain: 3})
 	r.configureAndAwait()
 	r.store.Snapshot()
-	added := newRoute("added", "/added/", "idempotent", "desk", nil)
+	added := emulator.Route("added", "/added/", "idempotent", "desk", nil)
 	r.configure(added)
 	r.plain[0].Drain()
 	hasAdded := func() bool {
@@ -177,7 +177,7 @@
 		}
 	}
 	assert.Equal(t, before, r.plain[0].RequestCount(), "an endpoint that has left gets no requests")
-	r.configure(added, newRoute("read", "/read/", "idempotent", "desk", nil))
+	r.configure(added, emulator.Route("read", "/read/", "idempotent", "desk", nil))
 	r.await("all hosts to read new records", func() bool {
 		return !slices.ContainsFunc([]int{0, 1, 2}, func(i int) bool {
 			return r.call(i, http.MethodGet, "/read/", "").status != http.StatusOK
@@ -185,7 +185,7 @@
 	})
 	r.store.SetDown(true)
 	r.store.RestoreSnapshot()
-	r.configure(added, newRoute("later", "/later/", "idempotent", "desk", nil))
+	r.configure(added, emulator.Route("later", "/later/", "idempotent", "desk", nil))
 	for range 10 { // the topic ends after its end before the restore
 		r.store.Put("keyed.op", "other", []byte("x"))
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -10,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
 
 	"github.com/hornbeamspan/hornbeamspan/internal/version"
@@ -29,15 +31,26 @@
 
 // newPlatformCommand returns the command that runs a host on the users' platform.
 func newPlatformCommand() *cobra.Command {
-	return &cobra.Command{
+	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Serve on the users' platform, with the settings file that " + platform.SettingsVariable + " points to",
 		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return runPlatform() },
 	}
+	advertised := cmd.Flags().String("advertise", "", "address at which other hosts reach this one, if it is not the one that it listens on")
+	cmd.RunE = func(*cobra.Command, []string) error {
+		var address netip.AddrPort
+		if *advertised != "" {
+			var err error
+			if address, err = netip.ParseAddrPort(*advertised); err != nil {
+				return errorx.Decorate(err, "daemon: unable to use --advertise")
+			}
+		}
+		return runPlatform(address)
+	}
+	return cmd
 }
 
-func runPlatform() error {
+func runPlatform(advertised netip.AddrPort) error {
 	path := os.Getenv(platform.SettingsVariable)
 	s, err := platform.Load(path)
 	if err != nil {
@@ -52,7 +65,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	host, err := hostrunner.StartRouting(routingConfig(s), clock, logs)
+	cfg := routingConfig(s)
+	cfg.Advertised = advertised
+	host, err := hostrunner.StartRouting(cfg, clock, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -55,40 +55,10 @@
 	headerTimeoutMs, idleTimeoutMs, maxFiles int
 }
 
-// newRoute returns a route of the rig's configuration, with the fields of more added or replaced.
-func newRoute(name, prefix, kind, service string, more map[string]any) map[string]any {
-	r := map[string]any{
-		"name": name, "hostname": "shop.example", "pathPrefix": prefix, "routeType": kind, "timeoutMs": 3000,
-		"targetLatencyMs": 900, "priority": 1, "service": service, "maxAttempts": 2,
-	}
-	for k, v := range more {
-		r[k] = v
-	}
-	return r
-}
-
 // configure publishes the next version of the configuration, with the routes of more added, and returns the version.
 func (r *rig) configure(more ...map[string]any) int {
 	r.version++
-	engine := map[string]any{
-		"slots": 4, "kvCapacity": 40000, "stride": 64, "kvHoldS": 0.5, "stageSwitchS": 0.2, "holdMs": 2000.0,
-	}
-	generation := map[string]any{"sessionAffinity": true, "gapAimMs": 300, "maxAttempts": 1}
-	resumable := map[string]any{"sessionAffinity": true, "gapAimMs": 300, "resumable": true}
-	r.store.PutJSON("keyed.op", "config", map[string]any{
-		"version": r.version,
-		"routes": append([]map[string]any{
-			newRoute("brief", "/brief/", "streaming", "writer", generation),
-			newRoute("scope", "/scope/", "streaming", "writer", resumable),
-			newRoute("submit", "/submit/", "non_idempotent", "desk", map[string]any{"maxAttempts": 1}),
-			newRoute("lookup", "/lookup/", "idempotent", "desk", nil),
-		}, more...),
-		"services": []map[string]any{
-			{"name": "writer", "healthCheck": "/health", "maxConnections": 100, "engine": engine},
-			{"name": "desk", "healthCheck": "/health", "maxConnections": 100},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 16, "headerTimeoutMs": r.headerTimeoutMs, "idleTimeoutMs": r.idleTimeoutMs},
-	})
+	r.store.PutConfig(r.version, emulator.ConfigLimits{HeaderTimeoutMs: r.headerTimeoutMs, IdleTimeoutMs: r.idleTimeoutMs}, more...)
 	return r.version
 }
 
@@ -136,46 +106,19 @@
 
 // startHost writes a settings file as the platform does, and starts a host with it.
 func (r *rig) startHost(name string) *hostrunner.RoutingHost {
-	var seeds []string
+	var seeds []netip.AddrPort
 	for _, s := range r.settings {
-		seeds = append(seeds, fmt.Sprintf("%q", s.Peers))
+		seeds = append(seeds, s.Peers)
 	}
 	if r.staleSeeds {
-		seeds = []string{`"127.0.0.1:1"`}
+		seeds = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}
 	}
 	frontend := r.store.NewFrontend()
 	r.frontends = append(r.frontends, frontend)
-	text := fmt.Sprintf(`
-nodeName = %q
-zone = "zone-%d"
-ip = "127.0.0.1"
-internalPorts = [7660, %d]
-seeds = [%s]
-somethingNew = true
-[listen]
-front = %q
-ready = %q
-control = %q
-directory = %q
-[limits]
-memoryMb = 120
-maxFds = %d
-[bounds]
-contactMs = 600
-drainMs = 400
-configApplyMs = 400
-graceS = 2
-budgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = 12
-transitMs = 120
-leaseMs = 600
-thawMs = 100
-ttl_max_s = 5
-requireFence = true
-[platform]
-address = %q
-`, name, len(r.hosts)%2, r.freeAddress().Port(), strings.Join(seeds, ","), r.freeAddress(), r.freeAddress(), r.freeAddress(), r.freeAddress(), r.maxFiles, frontend.Address())
+	text := emulator.HostSettings{
+		Name: name, DataCentre: fmt.Sprintf("zone-%d", len(r.hosts)%2), Seeds: seeds, Operators: r.freeAddress(), Callers: r.freeAddress(),
+		Ready: r.freeAddress(), Peers: r.freeAddress(), Directory: r.freeAddress(), MaxFiles: r.maxFiles, Store: frontend.Address(),
+	}.Text()
 	r.settingsText = text
 	path := filepath.Join(r.t.TempDir(), "local.toml")
 	require.NoError(r.t, os.WriteFile(path, []byte(text), 0o600))
@@ -452,7 +395,7 @@
 func TestANewConfigurationTakesEffectSoonAndOlderVersionsAreIgnored(t *testing.T) {
 	r := newRig(t, sizes{hosts: 2, plain: 1})
 	r.configureAndAwait()
-	added := newRoute("added", "/added/", "idempotent", "desk", nil)
+	added := emulator.Route("added", "/added/", "idempotent", "desk", nil)
 	r.configure(added)
 	r.await("the new route on both hosts", func() bool {
 		return r.call(0, http.MethodGet, "/added/", "").status == http.StatusOK &&
@@ -479,7 +422,7 @@
 	r := newRig(t, sizes{hosts: 1, plain: 1})
 	r.configureAndAwait()
 	r.store.SetDown(true)
-	r.configure(newRoute("added", "/added/", "idempotent", "desk", nil))
+	r.configure(emulator.Route("added", "/added/", "idempotent", "desk", nil))
 	r.store.Expire("keyed.op")
 	r.store.Expire("keyed.servers")
 	r.store.SetDown(false)
--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -111,6 +111,7 @@
 	retryAfter string
 	// arrivals counts all HTTP requests, control calls included.
 	arrivals int
+	limits   limitRecord
 }
 
 // Start starts an endpoint on a free loopback port and writes its entry to the store. The caller must close it.
@@ -184,6 +185,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving, e.retryAfter, e.sequence = false, "", 0
+	e.setLimit(nil)
 	e.incarnationStart = max(e.incarnationStart+1, time.Now().UnixMilli())
 	e.announce()
 }
@@ -210,6 +212,7 @@
 	if e.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	e.setLimitHeader(w)
 	if e.retryAfter == "" {
 		return false
 	}
@@ -291,6 +294,7 @@
 	}
 	e.mu.Lock()
 	e.requestCount++
+	e.recordArrival(w, r.Header.Get("Request-Id"))
 	fault, stage, switching := e.fault, e.stage, e.switching
 	e.mu.Unlock()
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.cfg.ID {
--- /dev/null
+++ b/lab/emulator/settings.go
@@ -0,0 +1,60 @@
+package emulator
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+)
+
+// HostSettings are the settings of one host, as the platform writes them to its settings file.
+type HostSettings struct {
+	Name       string
+	DataCentre string
+	Seeds      []netip.AddrPort
+	Callers    netip.AddrPort
+	Ready      netip.AddrPort
+	Peers      netip.AddrPort
+	Directory  netip.AddrPort
+	Operators  netip.AddrPort
+	Store      netip.AddrPort
+	MaxFiles   int
+}
+
+// Text returns the content of the settings file. Times are shorter than on the platform, so that tests are short.
+func (hs HostSettings) Text() string {
+	var seeds []string
+	for _, s := range hs.Seeds {
+		seeds = append(seeds, fmt.Sprintf("%q", s))
+	}
+	return fmt.Sprintf(`
+nodeName = %q
+zone = %q
+ip = "127.0.0.1"
+internalPorts = [7660, %d]
+seeds = [%s]
+somethingNew = true
+[listen]
+front = %q
+ready = %q
+control = %q
+directory = %q
+[limits]
+memoryMb = 120
+maxFds = %d
+[bounds]
+contactMs = 600
+drainMs = 400
+configApplyMs = 400
+graceS = 2
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 12
+transitMs = 120
+leaseMs = 600
+thawMs = 100
+ttl_max_s = 5
+requireFence = true
+[platform]
+address = %q
+`, hs.Name, hs.DataCentre, hs.Operators.Port(), strings.Join(seeds, ","), hs.Callers, hs.Ready, hs.Peers, hs.Directory, hs.MaxFiles, hs.Store)
+}
--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -56,6 +56,7 @@
 	Operators netip.AddrPort
 	Peers     netip.AddrPort
 	args      []string
+	env       []string
 	bin       string
 	dir       string
 	cmd       *exec.Cmd
@@ -187,6 +188,37 @@
 	return p.awaitListening(ctx)
 }
 
+// Command describes a process that StartCommand starts.
+type Command struct {
+	Name string
+	// Program and Dir are the paths of the program and of the folder for its log file.
+	Program string
+	Dir     string
+	Args    []string
+	// Env holds additional environment variables as NAME=VALUE.
+	Env []string
+	// Address is where the process listens once it has started.
+	Address netip.AddrPort
+}
+
+// StartCommand starts a process outside of a System and waits until it is listening. The caller must end it with Kill.
+func StartCommand(ctx context.Context, c Command) (*Process, error) {
+	p := &Process{Name: c.Name, Address: c.Address, args: c.Args, env: c.Env, bin: c.Program, dir: c.Dir}
+	if err := p.launch(); err != nil {
+		return nil, err
+	}
+	return p, p.awaitListening(ctx)
+}
+
+// Kill ends the process and waits until it has exited.
+func (p *Process) Kill() {
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
 func (p *Process) launch() error {
 	out, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -194,6 +226,7 @@
 	}
 	defer out.Close()
 	p.cmd = exec.Command(p.bin, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -372,11 +405,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := len(s.processes) - 1; i >= 0; i-- {
-		p := s.processes[i]
-		if p.cmd == nil || p.cmd.Process == nil {
-			continue
-		}
-		_ = p.cmd.Process.Kill()
-		<-p.exited
+		s.processes[i].Kill()
 	}
 }
--- /dev/null
+++ b/scenarios/fleet_test.go
@@ -0,0 +1,204 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/emulator"
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
+	"github.com/hornbeamspan/hornbeamspan/lab/partitioner"
+)
+
+// fleetReadyTimeout limits the wait until all hosts of a fleet list each other.
+const fleetReadyTimeout = 20 * time.Second
+
+// fleet is a set of host processes on the simulated platform, which can be cut off from each other.
+type fleet struct {
+	t         *testing.T
+	store     *emulator.Store
+	prefill   []*emulator.Endpoint
+	decode    []*emulator.Endpoint
+	plain     []*emulator.Endpoint
+	hosts     []*launcher.Process
+	settings  []emulator.HostSettings
+	partition *partitioner.Partitioner
+	random    *rand.Rand
+	lastID    atomic.Int64
+}
+
+// fleetSize is the number of hosts and endpoints of a fleet.
+type fleetSize struct {
+	hosts, prefill, decode, plain int
+}
+
+func startFleet(t *testing.T, n fleetSize) *fleet {
+	f := &fleet{t: t, store: emulator.NewStore(), partition: partitioner.New(), random: rand.New(rand.NewPCG(1, 1))}
+	t.Cleanup(f.stop)
+	engine := emulator.Config{
+		Service: "writer", Slots: 16, MemoryTokens: 200_000, Events: 6, EventInterval: 5 * time.Millisecond, StageSwitchTime: 200 * time.Millisecond,
+	}
+	add := func(list *[]*emulator.Endpoint, n int, c emulator.Config, name, stage string) {
+		for i := range n {
+			c.ID, c.DataCentre, c.Stage = fmt.Sprintf("%s%d", name, i), fmt.Sprintf("zone-%d", i%2), stage
+			*list = append(*list, emulator.Start(f.store, c))
+		}
+	}
+	add(&f.prefill, n.prefill, engine, "p", "prefill")
+	add(&f.decode, n.decode, engine, "d", "decode")
+	add(&f.plain, n.plain, emulator.Config{Service: "desk", Slots: 6, WorkTime: 5 * time.Millisecond}, "s", "")
+	f.store.PutConfig(1, emulator.ConfigLimits{HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000})
+	for i := range n.hosts {
+		f.addHost(fmt.Sprintf("front-%d", i))
+	}
+	f.awaitReady()
+	return f
+}
+
+func (f *fleet) freeAddress() netip.AddrPort {
+	address, err := launcher.FreePort()
+	require.NoError(f.t, err)
+	return address
+}
+
+// addHost starts a host, whose sessions with other hosts pass the partitioner.
+func (f *fleet) addHost(name string) {
+	s := emulator.HostSettings{
+		Name: name, DataCentre: fmt.Sprintf("zone-%d", len(f.hosts)%2), Callers: f.freeAddress(), Ready: f.freeAddress(), Peers: f.freeAddress(),
+		Directory: f.freeAddress(), Operators: f.freeAddress(), Store: f.store.Address(), MaxFiles: 2000,
+	}
+	advertised, err := f.partition.Forward(name, s.Peers)
+	require.NoError(f.t, err)
+	s.Seeds = []netip.AddrPort{advertised}
+	if len(f.settings) > 0 {
+		s.Seeds = f.settings[0].Seeds
+	}
+	dir := f.t.TempDir()
+	path := filepath.Join(dir, "local.toml")
+	require.NoError(f.t, os.WriteFile(path, []byte(s.Text()), 0o600))
+	p, err := launcher.StartCommand(context.Background(), launcher.Command{
+		Name: name, Program: filepath.Join(bin, "hornbeamspan"), Dir: dir, Address: s.Callers,
+		Args: []string{"platform", "--advertise", advertised.String()}, Env: []string{"HORNBEAMSPAN_NODE_FILE=" + path},
+	})
+	require.NoError(f.t, err)
+	f.hosts = append(f.hosts, p)
+	f.settings = append(f.settings, s)
+}
+
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		h.Kill()
+	}
+	f.partition.Close()
+	for _, list := range [][]*emulator.Endpoint{f.prefill, f.decode, f.plain} {
+		for _, e := range list {
+			e.Close()
+		}
+	}
+	f.store.Close()
+}
+
+// awaitReady waits until each host names all hosts to callers.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	require.NoError(f.t, launcher.Await(context.Background(), fleetReadyTimeout, func() bool {
+		for _, s := range f.settings {
+			for _, other := range f.settings {
+				if !strings.Contains(f.get(s.Directory, "/api/resolve?name=shop.example&zone=zone-0"), fmt.Sprintf("%q", other.Callers)) {
+					return false
+				}
+			}
+			if f.get(s.Ready, "/api/readyz") == "" {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+// get returns the body of a successful answer.
+func (f *fleet) get(at netip.AddrPort, path string) string {
+	resp, err := http.Get(fmt.Sprintf("http://%s%s", at, path))
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return ""
+	}
+	return string(data) + " "
+}
+
+// counts are the results of requests.
+type counts struct {
+	sent, served, refused, failed int
+	// refusedAfter is the time until the slowest refusal.
+	refusedAfter time.Duration
+}
+
+// load sends requests to random hosts at a steady rate and waits for all answers.
+func (f *fleet) load(d time.Duration, perSecond int, path string) counts {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var c counts
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for end := time.Now().Add(d); time.Now().Before(end); <-ticker.C {
+		host := f.random.IntN(len(f.hosts))
+		c.sent++
+		wait.Go(func() {
+			began := time.Now()
+			status := f.request(host, path)
+			mu.Lock()
+			defer mu.Unlock()
+			switch status {
+			case http.StatusOK:
+				c.served++
+			case http.StatusServiceUnavailable:
+				c.refused++
+				c.refusedAfter = max(c.refusedAfter, time.Since(began))
+			default:
+				c.failed++
+			}
+		})
+	}
+	wait.Wait()
+	return c
+}
+
+// request sends one request and returns the status of its complete answer, 0 if there is none.
+func (f *fleet) request(host int, path string) int {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s", f.hosts[host].Address, path), strings.NewReader("body"))
+	require.NoError(f.t, err)
+	r.Host = "shop.example"
+	r.Header.Set("Request-Id", fmt.Sprintf("%s/%d", f.hosts[host].Name, f.lastID.Add(1)))
+	r.Header.Set("Deadline-Ms", "2500")
+	if strings.HasPrefix(path, "/brief") || strings.HasPrefix(path, "/scope") {
+		r.Header.Set("Model", "m")
+		r.Header.Set("Token-Count", "2000,2000")
+		r.Header.Set("Length-Hint", "300")
+		r.Header.Set("Prompt-Prefix", "ab:200,cd:1800")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
--- a/transport/hostrunner/hostrunner.go
+++ b/transport/hostrunner/hostrunner.go
@@ -124,6 +124,7 @@
 	incarnation := uint64(h.clock.Now().UnixNano())
 	log := logclient.New(cfg.Log)
 	h.messenger = messenger.New(cfg.PeerKey, logs, h.meter.Scope)
+	h.messenger.Identify(cfg.Name)
 	h.rules = rulepublisher.New(rulepublisher.Options{Log: log, Logs: logs, CheckpointInterval: cfg.CheckpointInterval, Clock: h.clock, IsOwner: func() bool { return h.isOwner(rulepublisher.Stream) }})
 	callers, err := pickFreePort(cfg.Callers)
 	if err != nil {
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -71,9 +71,11 @@
 	Ready     netip.AddrPort
 	Directory netip.AddrPort
 	Peers     netip.AddrPort
-	Operators netip.AddrPort
-	Seeds     []netip.AddrPort
-	PeerKey   string
+	// Advertised is the address that other hosts use instead of Peers, if set.
+	Advertised netip.AddrPort
+	Operators  netip.AddrPort
+	Seeds      []netip.AddrPort
+	PeerKey    string
 
 	Store          Store
 	Engines        Engines
@@ -157,10 +159,19 @@
 	done            chan struct{}
 }
 
+// peerAddress returns the address at which other hosts reach this one.
+func (cfg RoutingConfig) peerAddress() netip.AddrPort {
+	if cfg.Advertised.IsValid() {
+		return cfg.Advertised
+	}
+	return cfg.Peers
+}
+
 // StartRouting assembles the components, opens the listeners and starts the background loops.
 func StartRouting(cfg RoutingConfig, clock clockwork.Clock, logs hclog.Logger) (*RoutingHost, error) {
 	rh := &RoutingHost{cfg: cfg, logs: logs, clock: clock, meter: meter.New("hornbeamspan"), done: make(chan struct{})}
 	rh.messenger = messenger.New(cfg.PeerKey, logs, rh.meter.Scope)
+	rh.messenger.Identify(cfg.Name)
 	rh.endpoints = discoverer.New(cfg.DecodeEndpoint, clock, logs)
 	incarnation := uint64(clock.Now().UnixNano())
 	rh.configurer = configurer.New(configurer.Options{
@@ -168,7 +179,7 @@
 	})
 	rh.gossiper = gossiper.New(gossiper.Options{
 		Self: tracker.Member{
-			Name: cfg.Name, Address: cfg.Peers, Callers: cfg.Callers, DataCentre: cfg.DataCentre, Incarnation: incarnation,
+			Name: cfg.Name, Address: cfg.peerAddress(), Callers: cfg.Callers, DataCentre: cfg.DataCentre, Incarnation: incarnation,
 			Power: cfg.Power,
 		},
 		Seeds: cfg.Seeds,
@@ -182,7 +193,7 @@
 	})
 	rh.relayer = relayer.New(relayer.Options{
 		Log: cfg.Store, Hosts: rh.gossiper, Messenger: rh.messenger, ApplyTime: cfg.ApplyTime,
-		HasSeeds: slices.ContainsFunc(cfg.Seeds, func(a netip.AddrPort) bool { return a != cfg.Peers }),
+		HasSeeds: slices.ContainsFunc(cfg.Seeds, func(a netip.AddrPort) bool { return a != cfg.peerAddress() }),
 		Clock:    clock, Logs: logs, Scope: rh.meter.Scope,
 	})
 	rh.configTopic = rh.relayer.Topic(cfg.Topics.Config, func(string, []byte, []byte) bool { return true })
@@ -330,7 +341,7 @@
 		Log: rh.configTopic, Topic: rh.cfg.Topics.Config, Sink: rh.configurer, Wait: configPollTimeout, Clock: rh.clock, Logs: rh.logs,
 	})
 	introducing := introducer.New(introducer.Options{
-		Topic: rh.cfg.Topics.Hosts, Host: rh.cfg.Name, Address: rh.cfg.Peers, Store: rh.cfg.Store, Hosts: rh.gossiper,
+		Topic: rh.cfg.Topics.Hosts, Host: rh.cfg.Name, Address: rh.cfg.peerAddress(), Store: rh.cfg.Store, Hosts: rh.gossiper,
 		Clock: rh.clock, Logs: rh.logs,
 	})
 	endpoints := tailer.New(tailer.Options{
--- a/transport/hosts/messenger/messenger.go
+++ b/transport/hosts/messenger/messenger.go
@@ -25,6 +25,8 @@
 const (
 	// Path is the HTTP path at which hosts accept sessions from other hosts.
 	Path = "/v1/peers"
+	// HostHeader is the header in which a host states its name when it opens a session.
+	HostHeader = "Peer-Host"
 	// answerKind is the kind of messages that answer a call.
 	answerKind = "answer"
 	// maxMessageBytes bounds the size of one message.
@@ -53,6 +55,7 @@
 // Messenger manages the sessions of a host with other hosts.
 type Messenger struct {
 	key      string
+	name     string
 	logs     hclog.Logger
 	handlers map[string]handler
 	mu       sync.Mutex
@@ -81,6 +84,9 @@
 	}
 }
 
+// Identify sets the name that this host states to others. It must be called before the first session.
+func (m *Messenger) Identify(name string) { m.name = name }
+
 // Handle registers h for messages of kind. All handlers must be registered before the first session.
 func Handle[Req, Resp any](m *Messenger, kind string, h func(context.Context, Req) (Resp, error)) {
 	m.handlers[kind] = func(ctx context.Context, body []byte) ([]byte, error) {
@@ -176,7 +182,7 @@
 	defer m.removeSession(s, to)
 	ctx, cancel := context.WithTimeout(m.ctx, connectTimeout)
 	defer cancel()
-	header := http.Header{"Authorization": {"Bearer " + m.key}}
+	header := http.Header{"Authorization": {"Bearer " + m.key}, HostHeader: {m.name}}
 	conn, resp, err := websocket.Dial(ctx, fmt.Sprintf("ws://%s%s", to, Path), &websocket.DialOptions{HTTPHeader: header})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -203,13 +209,13 @@
 func (m *Messenger) Accept(w http.ResponseWriter, r *http.Request) {
 	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if subtle.ConstantTimeCompare([]byte(key), []byte(m.key)) != 1 {
-		eventlogger.Warn(m.logs, eventlogger.PeerRefused, "address", r.RemoteAddr, "reason", "wrong key")
+		eventlogger.Warn(m.logs, eventlogger.PeerRefused, "address", r.RemoteAddr, "host", r.Header.Get(HostHeader), "reason", "wrong key")
 		http.Error(w, "wrong key", http.StatusUnauthorized)
 		return
 	}
 	conn, err := websocket.Accept(w, r, nil)
 	if err != nil {
-		eventlogger.Warn(m.logs, eventlogger.PeerRefused, "address", r.RemoteAddr, "reason", err.Error())
+		eventlogger.Warn(m.logs, eventlogger.PeerRefused, "address", r.RemoteAddr, "host", r.Header.Get(HostHeader), "reason", err.Error())
 		return
 	}
 	s := newSession(m, conn)
