Keep the rate limit of an endpoint over all hosts together

Cause: no part used the limit, and each host decides on its sends alone, so it could not have kept it: the limit is one for all hosts. Class: a bound on a sum over hosts without anything that counts the sum.

The owner of a service (the host that places its generations) permits the requests of all hosts to endpoints with limits; the others ask it before such a send (permitter, decided by throttler). sender.Open is the one place that every send passes: first sends, resends, prefills, resumptions and placements without a permit obtain one there. Placements bring theirs, so the owner's scheduler counts engines without a permit as not usable now and their limits in the capacity by which it refuses. A call goes to an endpoint without a limit if there is one; else it waits while it can still meet its target, and is refused at once if that is too long, with the time of the next permit. A changed limit is reported to the owner and by it to all hosts; what hosts sent in the last second without a permit is charged.

--- a/parts/coordination/placer/capacity.go
+++ b/parts/coordination/placer/capacity.go
@@ -38,19 +38,40 @@
 func (p *Placer) measureCapacity(now time.Time) capacity {
 	l := p.measureLoad(now)
 	l.PrefillEngines, l.DecodeEngines = 0, 0
+	var limits [2][]float64 // the rate limits of prefill and decode engines
 	for _, e := range p.engines {
-		switch {
-		case !p.isActive(now, e):
-		case e.IsPrefill:
+		if !p.isActive(now, e) {
+			continue
+		}
+		stage := 1
+		if e.IsPrefill {
+			stage = 0
 			l.PrefillEngines++
-		default:
+		} else {
 			l.DecodeEngines++
 		}
+		if e.IsLimited {
+			limits[stage] = append(limits[stage], e.PerSecond)
+		}
 	}
 	if !l.IsMeasured() {
 		return capacity{}
 	}
-	return capacity{rate: l.Throughput(l.PrefillEngines), typical: work(p.typical())}
+	rate := l.Throughput(l.PrefillEngines)
+	if len(limits[0])+len(limits[1]) > 0 {
+		rate = min(rate, limitedRate(limits[0], l.PrefillEngines, l.PrefillRate()), limitedRate(limits[1], l.DecodeEngines, l.DecodeRate()))
+	}
+	return capacity{rate: rate, typical: work(p.typical())}
+}
+
+// limitedRate returns the requests per second of n engines, some of which have a rate limit. perEngine is that of one
+// without.
+func limitedRate(limits []float64, n int, perEngine float64) float64 {
+	rate := float64(n-len(limits)) * perEngine
+	for _, limit := range limits {
+		rate += min(limit, perEngine)
+	}
+	return rate
 }
 
 // typical returns a job of mean size.
--- a/parts/coordination/placer/placer.go
+++ b/parts/coordination/placer/placer.go
@@ -49,6 +49,10 @@
 	IsExcluded bool
 	// IsFailing is set if so many calls to the engine have failed in a row that it may have crashed.
 	IsFailing bool
+	// IsLimited is set if the engine accepts only PerSecond requests from all hosts, Allowance of them now.
+	IsLimited bool
+	PerSecond float64
+	Allowance int
 }
 
 // Request is a run to be placed.
--- a/parts/coordination/placer/search.go
+++ b/parts/coordination/placer/search.go
@@ -46,7 +46,7 @@
 	s := &search{Placer: p, now: now}
 	for _, e := range p.engines {
 		switch {
-		case p.isUnavailable(now, e):
+		case p.isUnavailable(now, e), e.IsLimited && e.Allowance <= 0:
 		case e.IsPrefill:
 			s.prefillEngines = append(s.prefillEngines, e)
 		default:
@@ -104,6 +104,8 @@
 	s.startDelay.predicted[r.ID] = prefilled
 	s.prefillLoad.Assign(s.now, prefill.ID, r.ID, r.Prompt)
 	s.packer.Add(e.ID, r.Job, prefilled)
+	s.decodeEngines = use(s.decodeEngines, e)
+	s.prefillEngines = use(s.prefillEngines, prefill)
 	return Placement{ID: r.ID, DecodeEngine: e.ID, PrefillEngine: prefill.ID}, true
 }
 
@@ -116,9 +118,22 @@
 	}
 	s.prefillingUntil[e.ID] = s.now.Add(s.decodePrefillTime(r.Prompt) + 2*s.packer.OutputTime(s.now, e.ID, s.service.Stride))
 	s.packer.Add(e.ID, r.Job, s.now)
+	s.decodeEngines = use(s.decodeEngines, e)
 	return Placement{ID: r.ID, DecodeEngine: e.ID}, true
 }
 
+// use counts a placement at an engine with a rate limit, and removes the engine from the list if it accepts no more now.
+func use(engines []Engine, e Engine) []Engine {
+	if !e.IsLimited {
+		return engines
+	}
+	i := slices.IndexFunc(engines, func(other Engine) bool { return other.ID == e.ID })
+	if engines[i].Allowance--; engines[i].Allowance > 0 {
+		return engines
+	}
+	return slices.Delete(engines, i, i+1)
+}
+
 // recordUnplaced caches that a request found no room. A request that excludes engines says nothing about others, so it
 // is not cached.
 func (s *search) recordUnplaced(r Request) {
--- a/parts/coordination/stager/stager.go
+++ b/parts/coordination/stager/stager.go
@@ -56,6 +56,12 @@
 	return min(maxPrefillUtilisation*float64(prefill)/l.PrefillTime.Seconds(), l.decodeThroughput(decode))
 }
 
+// PrefillRate and DecodeRate return the requests per second of one engine of the stage.
+func (l Load) PrefillRate() float64 { return maxPrefillUtilisation / l.PrefillTime.Seconds() }
+
+// DecodeRate is described at PrefillRate.
+func (l Load) DecodeRate() float64 { return l.decodeThroughput(1) }
+
 // decodeThroughput returns the runs per second that the given number of decode engines completes.
 func (l Load) decodeThroughput(decode int) float64 {
 	return float64(decode*l.RunsPerEngine) / l.RunTime.Seconds()
--- a/parts/coordination/throttler/replay_test.go
+++ b/parts/coordination/throttler/replay_test.go
@@ -143,7 +143,6 @@
 	var hosts []*replayHost
 	for i := range l.hosts {
 		hosts = append(hosts, &replayHost{throttler: New(fmt.Sprintf("host-%d", i), takeover)})
-		hosts[i].throttler.SetStanding(at(-60), l.standing(0, i)) // in office for long
 	}
 	type send struct {
 		at       float64
@@ -167,7 +166,13 @@
 	}
 	slices.SortFunc(queue, func(a, b send) int { return at(a.at).Compare(at(b.at)) })
 	var r result
+	ticked := -60.0
 	for _, s := range queue {
+		for ; ticked < s.at; ticked += StandingInterval.Seconds() {
+			for i := range hosts {
+				hosts[i].throttler.SetStanding(at(ticked), l.standing(max(0, ticked), i))
+			}
+		}
 		if s.isReport {
 			l.report(hosts, s.at, s.host)
 			continue
--- a/parts/coordination/throttler/throttler.go
+++ b/parts/coordination/throttler/throttler.go
@@ -15,10 +15,15 @@
 	takeoverShare = 0.5
 	// minPerSecond is the rate at which an endpoint with a lower limit is still used, to learn that the limit has changed.
 	minPerSecond = 0.1
+	// maxStandingGap is the time between two calls of SetStanding beyond which the host takes itself to have been suspended.
+	maxStandingGap = 3 * StandingInterval
 	// retention is how long the state of an endpoint without requests is kept.
 	retention = 5 * time.Minute
 )
 
+// StandingInterval is the longest time between two calls of SetStanding.
+const StandingInterval = 500 * time.Millisecond
+
 // Standing is what a host knows about its position among the hosts that share a limit.
 type Standing struct {
 	// IsOwner is set on the host that permits the requests of all hosts. It must be unset on a host that is connected to no
@@ -42,6 +47,7 @@
 	// takeoverTime is how long after a change of the owner the former one may still permit requests.
 	takeoverTime time.Duration
 	standing     Standing
+	standingSet  time.Time
 	ownerSince   time.Time
 	endpoints    map[string]*endpoint
 }
@@ -61,9 +67,11 @@
 }
 
 // SetStanding sets the present position of this host. A new owner does not know what the former one has permitted, so it
-// begins without saved requests.
+// begins without saved requests. So does one that was suspended, as another host may have replaced it meanwhile.
 func (t *Throttler) SetStanding(now time.Time, s Standing) {
-	if s.IsOwner && !t.standing.IsOwner {
+	isNew := !t.standing.IsOwner || now.Sub(t.standingSet) > maxStandingGap
+	t.standingSet = now
+	if s.IsOwner && isNew {
 		t.ownerSince = now
 		for _, e := range t.endpoints {
 			e.bucket = bucket{requests: min(e.bucket.requests, 0), refilledAt: now}
@@ -74,6 +82,9 @@
 
 func (t *Throttler) isTakingOver(now time.Time) bool { return now.Sub(t.ownerSince) < t.takeoverTime }
 
+// IsOwner reports whether this host permits the requests of all hosts.
+func (t *Throttler) IsOwner() bool { return t.standing.IsOwner }
+
 // rate returns the requests per second that this host may permit.
 func (t *Throttler) rate(now time.Time, l Limit) float64 {
 	share := 1.0
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -180,6 +180,29 @@
 // Empty is an answer without content.
 type Empty map[string]interface{}
 
+// EndpointLimit is the rate limit that a host knows of an endpoint, and what the
+// host has sent there. Times are in milliseconds.
+type EndpointLimit struct {
+	// Age is the time since the endpoint stated it.
+	Age int `json:"age"`
+
+	// IncarnationStart is the start of the incarnation in Unix milliseconds.
+	IncarnationStart int64 `json:"born"`
+
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint string `json:"endpoint"`
+
+	// Limited is false once the endpoint has withdrawn its limit.
+	IsLimited bool `json:"limited"`
+
+	// PerSecond is the number of requests per second.
+	PerSecond float64 `json:"rate"`
+
+	// Sent is the number of recent requests of the sender that the owner has not
+	// permitted.
+	Sent int `json:"sent"`
+}
+
 // Envelope carries one message between hosts. Call 0 expects no answer. An answer
 // has the call number of its request and kind "answer".
 type Envelope struct {
@@ -281,6 +304,16 @@
 	Status int `json:"status"`
 }
 
+// LimitReport reports changed limits to the owner of a service, and from it to all
+// hosts.
+type LimitReport struct {
+	// Limits corresponds to the JSON schema field "limits".
+	Limits []EndpointLimit `json:"limits"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
 // LogRecord is one record of a topic. An empty value removes the key.
 type LogRecord struct {
 	// Key corresponds to the JSON schema field "key".
@@ -419,6 +452,35 @@
 	NotExecuted bool `json:"unsent"`
 }
 
+// PermitRequest requests a permit for one request to one of several endpoints from
+// the owner of their service.
+type PermitRequest struct {
+	// Limits are those of the endpoints, the preferred one first.
+	Limits []EndpointLimit `json:"limits"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Wait is how long the request may be delayed, in milliseconds.
+	Wait int `json:"wait"`
+}
+
+// PermitResponse is the answer to a PermitRequest.
+type PermitResponse struct {
+	// Endpoint is the one that the request may be sent to, empty if it is refused.
+	Endpoint string `json:"endpoint"`
+
+	// Limits are the newest that the owner knows.
+	Limits []EndpointLimit `json:"limits"`
+
+	// Moved is set by a host that is not the owner.
+	IsMoved bool `json:"moved"`
+
+	// Wait is the time until the request may be sent or, if it is refused, until the
+	// next permit, in milliseconds.
+	Wait int `json:"wait"`
+}
+
 // PlacementRequest requests a placement on the engines of a service from the owner
 // of the service. Times are in milliseconds from now, sizes in tokens.
 type PlacementRequest struct {
@@ -482,6 +544,9 @@
 	// Owner is the name of the host that owns the service, if it is another one.
 	Owner string `json:"home"`
 
+	// Permits lists the engines for which the placement includes a permit.
+	Permits []string `json:"permits,omitempty,omitzero"`
+
 	// PrefillEngine corresponds to the JSON schema field "reader".
 	PrefillEngine string `json:"reader"`
 
--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -159,6 +159,7 @@
 	if p.PrefillEngine == nil || !rt.Sender.MayResend(j.Service) { // for the send to the decode engine; prefill counts its own
 		return false, refused
 	}
+	p.IsDecodePermitted, p.IsPrefillPermitted = false, false
 	next, err := rt.prefill(ctx, j, p, tried)
 	if err != nil {
 		return false, refused
@@ -168,7 +169,7 @@
 
 // newSend returns the send to the decode engine of p, with the KV cache of src unless src is nil.
 func (rt *Router) newSend(src *kvSource, p dispatcher.Placement) sender.Send {
-	var s sender.Send
+	s := sender.Send{IsPermitted: p.IsDecodePermitted}
 	if rt.Clock.Now().Before(prefillDeadline(p)) {
 		s.Hold = p.Hold
 	}
@@ -252,6 +253,7 @@
 	for e := p.PrefillEngine; ; {
 		tried[e.ID] = true
 		src, err := rt.prefillAt(ctx, j, p, e)
+		p.IsPrefillPermitted = false
 		if err == nil {
 			return src, nil
 		}
@@ -281,7 +283,7 @@
 	ctx, cancel := context.WithDeadline(ctx, prefillDeadline(p))
 	defer cancel()
 	begun := rt.Clock.Now()
-	reply, err := rt.Sender.Exchange(ctx, &j.Job, e, sender.Send{Prefill: true})
+	reply, err := rt.Sender.Exchange(ctx, &j.Job, e, sender.Send{Prefill: true, IsPermitted: p.IsPrefillPermitted})
 	if err != nil {
 		return nil, err
 	}
--- a/transport/callers/router/router.go
+++ b/transport/callers/router/router.go
@@ -28,6 +28,8 @@
 	noConfigRetryAfter = time.Second
 	// convictedRetryAfter is the Retry-After for a request that crashed endpoints.
 	convictedRetryAfter = time.Minute
+	// startShare is the share of the time to the latency target within which a call must be sent to meet it.
+	startShare = 0.5
 	// drainRetryAfter is the Retry-After of a host that shuts down; it is short because callers retry at another host.
 	drainRetryAfter = 100 * time.Millisecond
 )
@@ -102,6 +104,14 @@
 	prefillSends int
 }
 
+// timeToTarget returns the time for an answer that meets the latency target, or the remaining time without a target.
+func (j *job) timeToTarget(now time.Time) time.Duration {
+	if target := j.route.TargetLatency; target > 0 {
+		return min(target, j.Left(now))
+	}
+	return j.Left(now)
+}
+
 // ServeHTTP forwards a request, or refuses it with a reason.
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rt.inFlight.Add(1)
@@ -163,6 +173,7 @@
 	if d := j.request.Deadline; d > 0 && (d < j.route.Timeout || j.route.Timeout <= 0) {
 		j.Expires = now.Add(d)
 	}
+	j.LatestStart = now.Add(time.Duration(startShare * float64(j.timeToTarget(now))))
 	if rt.refusingStreams.Load() && j.route.Kind == matcher.Stream {
 		return j, &result{status: http.StatusServiceUnavailable, reason: "host is shutting down", retryAfter: drainRetryAfter}
 	}
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -271,12 +271,15 @@
 	tried := make(map[string]bool)
 	failed := rt.Sender.NoEndpointError(j.Service)
 	for ctx.Err() == nil {
-		e := rt.Sender.Pick(rt.Sender.Endpoints.Service(j.Service), tried)
+		e, isPermitted, refused := rt.Sender.Choose(ctx, &j.Job, tried)
 		if e == nil {
+			if refused != nil {
+				failed = refused
+			}
 			break
 		}
 		tried[e.ID] = true
-		isFinal, err := rl.run(ctx, e, sender.Send{})
+		isFinal, err := rl.run(ctx, e, sender.Send{IsPermitted: isPermitted})
 		if isFinal {
 			return
 		}
--- a/transport/endpoints/discoverer/discoverer.go
+++ b/transport/endpoints/discoverer/discoverer.go
@@ -28,6 +28,8 @@
 	// pausedUntil is the end of the pause in calls from this host that the endpoint requested.
 	pausedUntil time.Time
 	limit       throttler.Limit
+	// unpermitted counts the recent requests from this host that the owner of the service has not permitted.
+	unpermitted throttler.Recent
 }
 
 // InFlight returns the number of calls from this host in progress.
@@ -79,13 +81,15 @@
 	onLeaving func(*Endpoint)
 	// countNotice counts the notices of endpoints by kind.
 	countNotice func(kind string)
-	decode      Decode
-	clock       clockwork.Clock
-	logs        hclog.Logger
-	mu          sync.Mutex
-	registry    *enroller.Registry
-	known       map[string]*Endpoint
-	index       atomic.Pointer[index]
+	// onLimit is called with each endpoint whose limit has changed, and whether another host has reported that.
+	onLimit  func(ep *Endpoint, isReported bool)
+	decode   Decode
+	clock    clockwork.Clock
+	logs     hclog.Logger
+	mu       sync.Mutex
+	registry *enroller.Registry
+	known    map[string]*Endpoint
+	index    atomic.Pointer[index]
 	// leaving holds the incarnations that announced that they are leaving, by endpoint.
 	leaving map[string]leavingMark
 	ready   chan struct{}
@@ -99,6 +103,7 @@
 	// byService excludes leaving endpoints.
 	byService map[string][]*Endpoint
 	byAddress map[netip.AddrPort]*Endpoint
+	byID      map[string]*Endpoint
 }
 
 // New returns a Discoverer without endpoints. With a nil decode function, Record must not be called with a value.
@@ -106,7 +111,7 @@
 	d := &Discoverer{
 		decode: decode, clock: clock, logs: logs, registry: enroller.New(),
 		known: make(map[string]*Endpoint), leaving: make(map[string]leavingMark), ready: make(chan struct{}),
-		onRemoved: func(string) {}, onLeaving: func(*Endpoint) {}, countNotice: func(string) {},
+		onRemoved: func(string) {}, onLeaving: func(*Endpoint) {}, countNotice: func(string) {}, onLimit: func(*Endpoint, bool) {},
 	}
 	d.index.Store(&index{})
 	return d
@@ -119,6 +124,9 @@
 // first record.
 func (d *Discoverer) OnLeaving(f func(*Endpoint)) { d.onLeaving = f }
 
+// OnLimit sets a callback for each endpoint whose rate limit has changed. It must be called before the first record.
+func (d *Discoverer) OnLimit(f func(ep *Endpoint, isReported bool)) { d.onLimit = f }
+
 // SetMetrics counts the notices of endpoints in scope. It must be called before the first record.
 func (d *Discoverer) SetMetrics(scope tally.Scope) {
 	d.countNotice = func(kind string) {
@@ -236,7 +244,7 @@
 
 // rebuild publishes a new index and logs the changes. The caller holds mu.
 func (d *Discoverer) rebuild(offset uint64) {
-	next := &index{byService: make(map[string][]*Endpoint), byAddress: make(map[netip.AddrPort]*Endpoint)}
+	next := &index{byService: make(map[string][]*Endpoint), byAddress: make(map[netip.AddrPort]*Endpoint), byID: make(map[string]*Endpoint)}
 	seen := make(map[string]bool)
 	for _, ep := range d.registry.All() {
 		ep = d.applyLeaving(ep)
@@ -245,6 +253,7 @@
 		known := d.nextEndpoint(old, ep, offset)
 		d.known[ep.ID] = known
 		next.byAddress[ep.Address] = known
+		next.byID[ep.ID] = known
 		if !ep.Leaving {
 			next.byService[ep.Service] = append(next.byService[ep.Service], known)
 		}
@@ -287,7 +296,7 @@
 	}
 	if old != nil && old.IncarnationStart.Equal(ep.IncarnationStart) && old.Address == ep.Address {
 		old.UpdateHealth(func(h *ejector.Health) { next.health = *h })
-		next.pausedUntil, next.limit = old.PausedUntil(), old.Limit()
+		old.copyNotices(next)
 	}
 	eventlogger.Info(d.logs, eventlogger.EndpointListed, "endpoint", ep.ID, "service", ep.Service, "address", ep.Address,
 		"zone", ep.DataCentre, "stage", ep.Stage.String(), "leaving", ep.Leaving, "offset", offset)
--- a/transport/endpoints/discoverer/notice.go
+++ b/transport/endpoints/discoverer/notice.go
@@ -67,7 +67,28 @@
 	}
 }
 
-// Limit returns the rate limit that the endpoint has stated to this host.
+// copyNotices copies what the endpoint has stated to its next entry.
+func (e *Endpoint) copyNotices(next *Endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next.pausedUntil, next.limit, next.unpermitted = e.pausedUntil, e.limit, e.unpermitted
+}
+
+// CountUnpermitted counts a request to the endpoint that the owner of its service has not permitted.
+func (e *Endpoint) CountUnpermitted(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unpermitted.Add(now)
+}
+
+// TakeUnpermitted returns the number of recent requests that the owner has not permitted, and forgets them.
+func (e *Endpoint) TakeUnpermitted(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unpermitted.Take(now)
+}
+
+// Limit returns the rate limit that the endpoint has stated, as this host knows it.
 func (e *Endpoint) Limit() throttler.Limit {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -83,22 +104,43 @@
 	return before, e.limit
 }
 
+// MergeLimit applies a limit that another host knows of an incarnation of an endpoint. It returns the endpoint with the newer
+// of both limits, nil if the incarnation is not listed.
+func (d *Discoverer) MergeLimit(id string, incarnationStart time.Time, l throttler.Limit) *Endpoint {
+	ep := d.index.Load().byID[id]
+	if ep == nil || !ep.IncarnationStart.Equal(incarnationStart) {
+		return nil
+	}
+	d.changeLimit(ep, true, func(known throttler.Limit) throttler.Limit {
+		if known.IsSame(l) {
+			return known // the age of what hosts repeat to each other grows less than time passes
+		}
+		return known.Merge(l)
+	})
+	return ep
+}
+
 // ApplyAnswerLimit withdraws the limit of ep after an answer without one to a request sent at sentAt. Control calls are no
 // such requests.
 func (d *Discoverer) ApplyAnswerLimit(ep *Endpoint, n Notice, sentAt time.Time) {
 	if !n.HasLimit && n.InvalidLimit == "" {
-		d.changeLimit(ep, "answer", func(l throttler.Limit) throttler.Limit {
+		d.changeLimit(ep, false, func(l throttler.Limit) throttler.Limit {
 			return l.Answer(throttler.Limit{ObservedAt: d.clock.Now()}, sentAt)
 		})
 	}
 }
 
-// changeLimit applies update to the limit of ep, and logs the change.
-func (d *Discoverer) changeLimit(ep *Endpoint, source string, update func(throttler.Limit) throttler.Limit) {
+// changeLimit applies update to the limit of ep, and logs a change.
+func (d *Discoverer) changeLimit(ep *Endpoint, isReported bool, update func(throttler.Limit) throttler.Limit) {
 	before, after := ep.updateLimit(update)
 	if before.IsSame(after) {
 		return
 	}
+	source := "answer"
+	if isReported {
+		source = "peer"
+	}
+	defer d.onLimit(ep, isReported)
 	d.countNotice("limit")
 	eventlogger.Info(d.logs, eventlogger.EndpointLimited, "endpoint", ep.ID, "service", ep.Service, "limited", after.IsSet,
 		"per_second", after.PerSecond, "before", before.PerSecond, "source", source)
@@ -111,7 +153,7 @@
 		eventlogger.Warn(d.logs, eventlogger.NoticeInvalid, "endpoint", ep.ID, "service", ep.Service, "pause", n.InvalidPause, "limit", n.InvalidLimit)
 	}
 	if n.HasLimit {
-		d.changeLimit(ep, "answer", func(l throttler.Limit) throttler.Limit {
+		d.changeLimit(ep, false, func(l throttler.Limit) throttler.Limit {
 			return l.Merge(throttler.Limit{IsSet: true, PerSecond: n.Limit, ObservedAt: now})
 		})
 	}
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -22,9 +22,11 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/packer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/placer"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/throttler"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/permitter"
 	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
@@ -131,6 +133,9 @@
 	PrefillEngine *discoverer.Endpoint
 	Hold          string
 	Until         time.Time
+	// IsDecodePermitted and IsPrefillPermitted are set if the placement includes a permit for an engine with a rate limit.
+	IsDecodePermitted  bool
+	IsPrefillPermitted bool
 }
 
 // RefusedError reports that no engine can serve the request in time. RetryAfter is the time before a retry.
@@ -181,6 +186,16 @@
 	Report(ctx context.Context, at netip.AddrPort) (EngineReport, error)
 }
 
+// Permits limits the placements at engines with rate limits.
+type Permits interface {
+	// Allowance returns the number of requests that an engine with a rate limit accepts now, and the limit.
+	Allowance(e *discoverer.Endpoint) (n int, l throttler.Limit)
+	// Take takes a permit for a request to an engine. It returns false if there is none.
+	Take(e *discoverer.Endpoint) bool
+	// GiveBack returns a permit that was not used.
+	GiveBack(e *discoverer.Endpoint)
+}
+
 // Hosts is the membership that the owner of a service is chosen from.
 type Hosts interface {
 	// StableOwner returns the owner of a key among the responsive hosts, and whether it is this host.
@@ -199,7 +214,9 @@
 	Messenger  *messenger.Messenger
 	Endpoints  *discoverer.Discoverer
 	Engines    Engines
-	Orders     Orders
+	// Permits limits the placements at engines with rate limits; nil if engines have none.
+	Permits Permits
+	Orders  Orders
 	// Describe returns the configuration of a service; false if there is none.
 	Describe func(service string) (matcher.Service, bool)
 	Clock    clockwork.Clock
@@ -317,6 +334,7 @@
 	p := Placement{
 		DecodeEngine: d.Endpoints.Find(r.Service, answer.Engine), PrefillEngine: d.Endpoints.Find(r.Service, answer.PrefillEngine),
 		Hold: answer.Hold, Until: d.Clock.Now().Add(milliseconds(answer.Until)),
+		IsDecodePermitted: slices.Contains(answer.Permits, answer.Engine), IsPrefillPermitted: slices.Contains(answer.Permits, answer.PrefillEngine),
 	}
 	return p, p.DecodeEngine != nil
 }
@@ -354,7 +372,7 @@
 }
 
 func (d *Dispatcher) handlePlace(ctx context.Context, m wire.PlacementRequest) (wire.PlacementResponse, error) {
-	if owner, isOwn := d.Hosts.StableOwner(ownerKey(m.Service), d.isUnresponsive); !isOwn && !m.IsRedirected {
+	if owner, isOwn := d.Hosts.StableOwner(permitter.OwnerKey(m.Service), d.isUnresponsive); !isOwn && !m.IsRedirected {
 		return wire.PlacementResponse{State: stateMoved, Owner: owner.Name}, nil
 	}
 	now := d.Clock.Now()
--- a/transport/endpoints/dispatcher/hold.go
+++ b/transport/endpoints/dispatcher/hold.go
@@ -55,8 +55,8 @@
 	return engines.Hold(ctx, e.Address, spec.tokens, spec.lifetime)
 }
 
-// reserve takes the hold for a placed request. If that fails, the request stays pending.
-func (s *scheduler) reserve(pr *pendingRequest, p placer.Placement, spec holdSpec) {
+// reserve takes the hold for a placed request with its permits. If that fails, the request stays pending.
+func (s *scheduler) reserve(pr *pendingRequest, p placer.Placement, spec holdSpec, permits []*discoverer.Endpoint) {
 	d := s.dispatcher
 	start := d.Clock.Now()
 	e := s.find(p.DecodeEngine)
@@ -68,6 +68,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pr.isReserving = false
+	if err != nil || pr.isRemoved {
+		s.giveBack(permits)
+	}
 	if err != nil {
 		var full *FullError
 		var paused *discoverer.PausedError
@@ -86,8 +89,13 @@
 		return
 	}
 	s.placer.RecordHold(now)
+	var permitted []string
+	for _, e := range permits {
+		permitted = append(permitted, e.ID)
+	}
 	pr.answer <- wire.PlacementResponse{
 		State: statePlaced, Engine: p.DecodeEngine, PrefillEngine: p.PrefillEngine, Hold: hold, Until: int(start.Add(spec.lifetime).Sub(now).Milliseconds()),
+		Permits: permitted,
 	}
 }
 
--- a/transport/endpoints/dispatcher/owner.go
+++ b/transport/endpoints/dispatcher/owner.go
@@ -6,6 +6,7 @@
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/protocol/wire"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/permitter"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
 	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
@@ -27,7 +28,7 @@
 
 // owner returns the host that places generations of a service, and whether it is this host.
 func (d *Dispatcher) owner(service string) (owner tracker.Member, isOwn bool) {
-	owner, isOwn = d.Hosts.StableOwner(ownerKey(service), d.isUnresponsive)
+	owner, isOwn = d.Hosts.StableOwner(permitter.OwnerKey(service), d.isUnresponsive)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r, ok := d.redirects[service]; ok && d.Clock.Now().Before(r.expires) {
@@ -41,7 +42,7 @@
 
 // isSubstitute reports whether owner replaces an unresponsive one.
 func (d *Dispatcher) isSubstitute(service string, owner tracker.Member) bool {
-	regular, _ := d.Hosts.StableOwner(ownerKey(service), isNeverUnresponsive)
+	regular, _ := d.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
 	return regular.Name != owner.Name
 }
 
@@ -63,11 +64,9 @@
 	}
 }
 
-func ownerKey(service string) string { return "engines/" + service }
-
 // isOwner reports whether this host places the generations of a service for all hosts.
 func (d *Dispatcher) isOwner(service string) bool {
-	_, isOwn := d.Hosts.StableOwner(ownerKey(service), isNeverUnresponsive)
+	_, isOwn := d.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
 	return isOwn && d.Hosts.HasMajority()
 }
 
--- a/transport/endpoints/dispatcher/scheduler.go
+++ b/transport/endpoints/dispatcher/scheduler.go
@@ -228,13 +228,46 @@
 		s.pending[r.ID].answer <- wire.PlacementResponse{State: stateRefused, Reason: r.Reason, RetryAfter: int(r.RetryAfter.Milliseconds())}
 	}
 	for _, p := range plan.Placements {
+		permits, ok := s.takePermits(p)
+		if !ok {
+			s.placer.RecordHoldFailure(now, p, false)
+			continue
+		}
 		pr := s.pending[p.ID]
 		pr.isReserving = true
-		go s.reserve(pr, p, s.holdFor(now, pr, engine))
+		go s.reserve(pr, p, s.holdFor(now, pr, engine), permits)
 	}
 	return true
 }
 
+func (s *scheduler) isLimited(e *discoverer.Endpoint) bool {
+	return s.dispatcher.Permits != nil && e.Limit().IsSet
+}
+
+// takePermits takes the permits for the engines of a placement that have rate limits. It returns false if one of them has
+// none.
+func (s *scheduler) takePermits(p placer.Placement) ([]*discoverer.Endpoint, bool) {
+	var taken []*discoverer.Endpoint
+	for _, id := range []string{p.DecodeEngine, p.PrefillEngine} {
+		e := s.find(id)
+		if e == nil || !s.isLimited(e) {
+			continue
+		}
+		if !s.dispatcher.Permits.Take(e) {
+			s.giveBack(taken)
+			return nil, false
+		}
+		taken = append(taken, e)
+	}
+	return taken, true
+}
+
+func (s *scheduler) giveBack(permits []*discoverer.Endpoint) {
+	for _, e := range permits {
+		s.dispatcher.Permits.GiveBack(e)
+	}
+}
+
 // waitingRequests returns the requests without a placement and abandons the expired ones. The caller holds mu.
 func (s *scheduler) waitingRequests(now time.Time) []placer.Request {
 	var list []placer.Request
@@ -260,10 +293,15 @@
 	listed := s.dispatcher.Endpoints.Service(s.service)
 	engines := make([]placer.Engine, 0, len(listed))
 	for _, e := range listed {
-		engines = append(engines, placer.Engine{
+		engine := placer.Engine{
 			ID: e.ID, DataCentre: e.DataCentre, IsPrefill: e.Stage == enroller.Prefill, IsExcluded: e.IsEjected(now) || e.IsPaused(now),
 			IsFailing: e.IsFailing(),
-		})
+		}
+		if s.isLimited(e) {
+			allowance, limit := s.dispatcher.Permits.Allowance(e)
+			engine.IsLimited, engine.PerSecond, engine.Allowance = limit.IsSet, limit.PerSecond, allowance
+		}
+		engines = append(engines, engine)
 	}
 	s.placer.Update(*service.Engine, engines)
 	return *service.Engine, true
--- a/transport/endpoints/sender/call.go
+++ b/transport/endpoints/sender/call.go
@@ -67,12 +67,15 @@
 	tried := make(map[string]bool)
 	last := s.NoEndpointError(j.Service)
 	for ctx.Err() == nil {
-		e := s.Pick(s.Endpoints.Service(j.Service), tried)
+		e, isPermitted, refused := s.Choose(ctx, j, tried)
 		if e == nil {
+			if refused != nil {
+				last = refused
+			}
 			break
 		}
 		tried[e.ID] = true
-		reply, err := s.sendOnceTo(ctx, j, e)
+		reply, err := s.sendOnceTo(ctx, j, e, Send{IsPermitted: isPermitted})
 		if err == nil {
 			j.Sends.Add(1)
 			s.Isolator.RecordCompletion(j.Fingerprint)
@@ -89,10 +92,10 @@
 }
 
 // sendOnceTo sends a request to one endpoint. It ignores the cancellation of ctx, which would leave the outcome unknown.
-func (s *Sender) sendOnceTo(ctx context.Context, j *Job, e *discoverer.Endpoint) (*Reply, error) {
+func (s *Sender) sendOnceTo(ctx context.Context, j *Job, e *discoverer.Endpoint, o Send) (*Reply, error) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.Expires)
 	defer cancel()
-	return s.Exchange(ctx, j, e, Send{})
+	return s.Exchange(ctx, j, e, o)
 }
 
 // lookup is the state of a request that may run more than once, at several endpoints.
@@ -157,27 +160,33 @@
 	if sends >= j.MaxAttempts {
 		return
 	}
-	e := s.Pick(s.Endpoints.Service(j.Service), l.tried)
-	if e == nil || (sends > 0 && !s.MayResend(j.Service)) {
+	if s.Pick(s.Endpoints.Service(j.Service), l.tried) == nil || (sends > 0 && !s.MayResend(j.Service)) {
+		return
+	}
+	e, isPermitted, refused := s.Choose(ctx, j, l.tried)
+	if e == nil {
+		if refused != nil && l.failure.Outcome != Unknown {
+			l.failure = refused
+		}
 		return
 	}
 	l.tried[e.ID] = true
 	l.pending++
 	mayFollow := sends+1 < j.MaxAttempts
 	go func() {
-		reply, err := s.sendLookupTo(ctx, j, e, mayFollow)
+		reply, err := s.sendLookupTo(ctx, j, e, mayFollow, Send{IsPermitted: isPermitted})
 		l.results <- lookupResult{endpoint: e, reply: reply, err: err}
 	}()
 }
 
 // sendLookupTo sends a request to one endpoint. If another send may follow, it gets a share of the remaining time.
-func (s *Sender) sendLookupTo(ctx context.Context, j *Job, e *discoverer.Endpoint, mayFollow bool) (*Reply, error) {
+func (s *Sender) sendLookupTo(ctx context.Context, j *Job, e *discoverer.Endpoint, mayFollow bool, o Send) (*Reply, error) {
 	if mayFollow {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(firstSendShare*float64(j.Left(s.Clock.Now()))))
 		defer cancel()
 	}
-	return s.Exchange(ctx, j, e, Send{})
+	return s.Exchange(ctx, j, e, o)
 }
 
 // isAnswered reports whether the last answer is final.
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -43,7 +43,8 @@
 	Endpoint string
 	Outcome  Outcome
 	Reason   string
-	// RetryAfter is the remaining time of the pause that endpoints have requested; 0 if there is none.
+	// RetryAfter is the time until the end of a pause that endpoints have requested, or until a rate limit permits the next
+	// request; 0 if there is neither.
 	RetryAfter time.Duration
 }
 
@@ -51,7 +52,7 @@
 	return fmt.Sprintf("sender: unable to get an answer from %s: %s", e.Endpoint, e.Reason)
 }
 
-// IsRefused reports whether the endpoint refused the request, directly or by an earlier request for a pause.
+// IsRefused reports whether the endpoint refused the request, directly or by an earlier notice.
 func (e *SendError) IsRefused() bool { return e.Outcome == NotRun || e.RetryAfter > 0 }
 
 // newRequest builds the HTTP request for one send of a job.
@@ -91,6 +92,9 @@
 		failed.RetryAfter = until.Sub(s.Clock.Now())
 		return nil, failed
 	}
+	if err := s.permit(ctx, j, e, o); err != nil {
+		return nil, err
+	}
 	r, err := s.newRequest(ctx, j, e, o)
 	if err != nil {
 		return nil, &SendError{Endpoint: e.ID, Outcome: NotSent, Reason: err.Error()}
@@ -103,7 +107,7 @@
 	a := s.Dialect.Answer(resp, j.ID)
 	if resp.StatusCode != http.StatusMisdirectedRequest {
 		s.Endpoints.ApplyNotice(e, a.Notice)
-		if !a.IsForeign {
+		if !a.IsForeign && !a.NotRun {
 			s.Endpoints.ApplyAnswerLimit(e, a.Notice, sentAt)
 		}
 	}
--- a/transport/endpoints/sender/sender.go
+++ b/transport/endpoints/sender/sender.go
@@ -29,6 +29,8 @@
 	// Hosts returns the number of hosts that share the budget of extra sends; 0 if it is not known yet.
 	Hosts func() int
 	Retry RetryBudget
+	// Permits limits the requests to endpoints with rate limits; nil if endpoints have none.
+	Permits Permits
 	// BufferBytes bounds the memory of all answers that are read at the same time; 0 stands for 64 MiB.
 	BufferBytes int64
 	Clock       clockwork.Clock
@@ -71,6 +73,8 @@
 	Body   []byte
 	// Expires is the deadline set by the caller or the route.
 	Expires time.Time
+	// LatestStart is the latest start of a send that is expected to meet the latency target. Waits for a permit end there.
+	LatestStart time.Time
 	// MaxAttempts bounds the sends that reach an endpoint.
 	MaxAttempts int
 	// Hedge is how long a lookup waits for one endpoint before it is also sent to another; 0 disables this.
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/callers/router"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/dispatcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/permitter"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/stageswitcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
@@ -143,6 +144,7 @@
 	gossiper      *gossiper.Gossiper
 	endpoints     *discoverer.Discoverer
 	dispatcher    *dispatcher.Dispatcher
+	permitter     *permitter.Permitter
 	stageSwitcher *stageswitcher.Switcher
 	sender        *sender.Sender
 	relayer       *relayer.Relayer
@@ -208,13 +210,19 @@
 		Holder: cfg.Name, Topic: cfg.Topics.EngineLeases, Lease: cfg.Lease, Store: cfg.Store, Engines: cfg.Engines,
 		Clock: clock, Logs: logs,
 	})
+	rh.permitter = permitter.New(permitter.Options{
+		Host: cfg.Name, Hosts: rh.gossiper, Messenger: rh.messenger, Endpoints: rh.endpoints, MaxHosts: rh.knownMaxHosts,
+		TakeoverTime: cfg.ContactTime, Clock: clock, Logs: logs, Scope: rh.meter.Scope,
+	})
+	rh.endpoints.OnLimit(rh.permitter.ReportLimit)
 	rh.dispatcher = dispatcher.New(dispatcher.Options{
-		DataCentre: cfg.DataCentre, Hosts: rh.gossiper, Messenger: rh.messenger, Endpoints: rh.endpoints, Engines: cfg.Engines,
+		DataCentre: cfg.DataCentre, Hosts: rh.gossiper, Messenger: rh.messenger, Endpoints: rh.endpoints, Engines: cfg.Engines, Permits: rh.permitter,
 		Orders: rh.stageSwitcher, Describe: rh.service, Clock: clock, Random: rh.newRand("dispatcher", incarnation), Logs: logs,
 	})
 	rh.endpoints.OnLeaving(rh.dispatcher.ReportLeaving)
 	rh.sender = sender.New(sender.Options{
 		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: rh.endpoints, Isolator: isolate, Hosts: rh.maxServingHosts, Retry: cfg.Retry,
+		Permits:     rh.permitter,
 		BufferBytes: int64(bufferFraction * float64(cfg.MemoryBytes)),
 		Clock:       clock, Random: rh.newRand("sender", incarnation), Logs: logs, Scope: rh.meter.Scope,
 	})
@@ -278,6 +286,15 @@
 	}
 }
 
+// knownMaxHosts returns maxServingHosts, or 0 while this host has reached none of its seeds.
+func (rh *RoutingHost) knownMaxHosts() int {
+	n := rh.maxServingHosts()
+	if n == 1 && !rh.gossiper.HasMajority() {
+		return 0
+	}
+	return n
+}
+
 func (rh *RoutingHost) listen() error {
 	cfg := rh.cfg
 	for _, o := range []listener.Options{
@@ -351,7 +368,7 @@
 			introducing.SetEra(era)
 		},
 	})
-	for _, run := range []func(context.Context){config.Run, endpoints.Run, rh.endpoints.Run, rh.gossiper.Run, introducing.Run} {
+	for _, run := range []func(context.Context){config.Run, endpoints.Run, rh.endpoints.Run, rh.gossiper.Run, introducing.Run, rh.permitter.Run} {
 		rh.wg.Go(func() { run(ctx) })
 	}
 }
--- a/transport/hosts/gossiper/gossiper.go
+++ b/transport/hosts/gossiper/gossiper.go
@@ -316,6 +316,12 @@
 // Serving returns the hosts that are alive, including this host.
 func (g *Gossiper) Serving() []tracker.Member { return slices.Clone(g.serving.Load().members) }
 
+// Unreachable returns the number of known hosts that are not serving, without those that are leaving.
+func (g *Gossiper) Unreachable() int {
+	s := g.serving.Load()
+	return max(0, s.knownHosts-len(s.members))
+}
+
 // HasMajority reports whether more than half of the known hosts are alive. Dead hosts count as known until the tracker
 // removes them. A host that has reached none of its seeds yet has no majority.
 func (g *Gossiper) HasMajority() bool {
