Divide shared bounds by the hosts that were seen, not by those in sight

Not changed: a host of the own interface that knows no other one divides by 1, as its callers would be refused for a stale seed.

--- a/transport/callers/responder/responder.go
+++ b/transport/callers/responder/responder.go
@@ -140,7 +140,7 @@
 	if o.Rate == 0 {
 		return 0, true
 	}
-	rate := limiter.Rate{PerSecond: o.Rate, Burst: float64(o.Burst)}.Share(len(rs.options.Hosts.Serving()))
+	rate := limiter.Rate{PerSecond: o.Rate, Burst: float64(o.Burst)}.Share(rs.options.Hosts.MaxServing())
 	rs.buckets.Update(o.Name, func(b limiter.Bucket, _ bool) (limiter.Bucket, bool) {
 		wait, ok = b.Take(rs.options.Clock.Now(), rate)
 		return b, true
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -155,7 +155,6 @@
 	listeners       []*listener.Listener
 	callersListener *listener.Listener
 	draining        atomic.Bool
-	maxHosts        atomic.Int64
 	stop            context.CancelFunc
 	wg              sync.WaitGroup
 	done            chan struct{}
@@ -211,7 +210,7 @@
 		Clock: clock, Logs: logs,
 	})
 	rh.permitter = permitter.New(permitter.Options{
-		Host: cfg.Name, Hosts: rh.gossiper, Messenger: rh.messenger, Endpoints: rh.endpoints, MaxHosts: rh.knownMaxHosts,
+		Host: cfg.Name, Hosts: rh.gossiper, Messenger: rh.messenger, Endpoints: rh.endpoints, MaxHosts: rh.gossiper.MaxServing,
 		TakeoverTime: cfg.ContactTime, Clock: clock, Logs: logs, Scope: rh.meter.Scope,
 	})
 	rh.endpoints.OnLimit(rh.permitter.ReportLimit)
@@ -221,7 +220,7 @@
 	})
 	rh.endpoints.OnLeaving(rh.dispatcher.ReportLeaving)
 	rh.sender = sender.New(sender.Options{
-		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: rh.endpoints, Isolator: isolate, Hosts: rh.maxServingHosts, Retry: cfg.Retry,
+		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: rh.endpoints, Isolator: isolate, Hosts: rh.gossiper.MaxServing, Retry: cfg.Retry,
 		Permits:     rh.permitter,
 		BufferBytes: int64(bufferFraction * float64(cfg.MemoryBytes)),
 		Clock:       clock, Random: rh.newRand("sender", incarnation), Logs: logs, Scope: rh.meter.Scope,
@@ -274,27 +273,6 @@
 	return s, ok
 }
 
-// maxServingHosts returns the highest number of serving hosts seen at one time. It divides the retry budget: a host that
-// is partitioned off must not use the shares of the hosts that it no longer sees.
-func (rh *RoutingHost) maxServingHosts() int {
-	n := int64(len(rh.gossiper.Serving()))
-	for {
-		highest := rh.maxHosts.Load()
-		if n <= highest || rh.maxHosts.CompareAndSwap(highest, n) {
-			return int(max(n, highest))
-		}
-	}
-}
-
-// knownMaxHosts returns maxServingHosts, or 0 while this host has reached none of its seeds.
-func (rh *RoutingHost) knownMaxHosts() int {
-	n := rh.maxServingHosts()
-	if n == 1 && !rh.gossiper.HasMajority() {
-		return 0
-	}
-	return n
-}
-
 func (rh *RoutingHost) listen() error {
 	cfg := rh.cfg
 	for _, o := range []listener.Options{
--- a/transport/hosts/gossiper/gossiper.go
+++ b/transport/hosts/gossiper/gossiper.go
@@ -63,6 +63,7 @@
 	// generation is the tracker's generation at the last call of logChanges.
 	generation uint64
 	serving    atomic.Pointer[servingHosts]
+	maxServing atomic.Int64
 	// unreachableSince maps each host that cannot reach the log, while most others can, to when that was first observed.
 	unreachableSince map[string]time.Time
 	done             chan struct{}
@@ -171,6 +172,7 @@
 		next.names = append(next.names, m.Name)
 	}
 	next.stable = g.stable(next.members)
+	g.maxServing.Store(max(g.maxServing.Load(), int64(len(next.members))))
 	g.serving.Store(next)
 }
 
@@ -326,10 +328,20 @@
 // removes them. A host that has reached none of its seeds yet has no majority.
 func (g *Gossiper) HasMajority() bool {
 	s := g.serving.Load()
-	if s.knownHosts == 1 && slices.ContainsFunc(g.options.Seeds, func(a netip.AddrPort) bool { return a != g.options.Self.Address }) {
-		return false
+	return !g.hasReachedNoSeed(s) && 2*len(s.members) > s.knownHosts
+}
+
+func (g *Gossiper) hasReachedNoSeed(s *servingHosts) bool {
+	return s.knownHosts == 1 && slices.ContainsFunc(g.options.Seeds, func(a netip.AddrPort) bool { return a != g.options.Self.Address })
+}
+
+// MaxServing returns the highest number of hosts that served at the same time, 0 for a host that has reached none of its
+// seeds yet. It divides what all hosts share: a host that is cut off must not use the shares of those that it no longer sees.
+func (g *Gossiper) MaxServing() int {
+	if n := g.maxServing.Load(); n > 1 || !g.hasReachedNoSeed(g.serving.Load()) {
+		return int(n)
 	}
-	return 2*len(s.members) > s.knownHosts
+	return 0
 }
 
 // Owner returns the host that owns key, and whether it is this host.
