Know the owner of a service before its first limit; wait for a permit rather than use an ejected endpoint

Read again, three faults of the permits: the owner's state was created with the first limit, so it counted as a new owner and permitted half for contactMs; a changed limit left earlier refusals in force; with a limit on all sound endpoints a call was sent to an ejected one rather than wait.

--- a/transport/endpoints/discoverer/discoverer.go
+++ b/transport/endpoints/discoverer/discoverer.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,6 +142,11 @@
 // Service returns the endpoints of a service that are not leaving.
 func (d *Discoverer) Service(name string) []*Endpoint { return d.index.Load().byService[name] }
 
+// Services returns the names of the services with endpoints that are not leaving.
+func (d *Discoverer) Services() []string {
+	return slices.Collect(maps.Keys(d.index.Load().byService))
+}
+
 // Find returns the endpoint of a service with the given ID, nil if there is none or it is leaving.
 func (d *Discoverer) Find(service, id string) *Endpoint {
 	for _, ep := range d.Service(service) {
--- a/transport/endpoints/permitter/permitter.go
+++ b/transport/endpoints/permitter/permitter.go
@@ -31,6 +31,9 @@
 	ownerRetryInterval = 500 * time.Millisecond
 	// permitLifetime is how late a permitted request may be sent.
 	permitLifetime = 250 * time.Millisecond
+	// standingLifetime is how long the standing of this host is reused: with hundreds of hosts it takes longer to determine
+	// than a permit.
+	standingLifetime = 20 * time.Millisecond
 	// reportDelay collects the changed limits of several endpoints in one report.
 	reportDelay = 10 * time.Millisecond
 	// reportTimeout bounds a report to one host.
@@ -80,7 +83,8 @@
 
 // service is the state of one service.
 type service struct {
-	throttler *throttler.Throttler
+	throttler   *throttler.Throttler
+	standingSet time.Time
 	// refusedUntil holds, by endpoint, the time before which the owner permits no request.
 	refusedUntil map[string]time.Time
 	// changed holds the endpoints with changed limits that are not reported yet.
@@ -123,8 +127,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
+	for _, name := range p.Endpoints.Services() {
+		p.service(now, name) // so that the owner has been in office when the first limit is stated
+	}
 	for name, s := range p.services {
-		s.throttler.SetStanding(now, p.standing(name))
+		p.service(now, name)
 		s.throttler.Expire(now)
 		for id, until := range s.refusedUntil {
 			if now.After(until) {
@@ -143,7 +150,10 @@
 		}
 		p.services[name] = s
 	}
-	s.throttler.SetStanding(now, p.standing(name))
+	if now.Sub(s.standingSet) >= standingLifetime {
+		s.standingSet = now
+		s.throttler.SetStanding(now, p.standing(name))
+	}
 	return s
 }
 
--- a/transport/endpoints/permitter/report.go
+++ b/transport/endpoints/permitter/report.go
@@ -40,9 +40,7 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	s := p.service(now, ep.Service)
-	if l := ep.Limit(); !l.IsSet {
-		delete(s.refusedUntil, ep.ID)
-	}
+	delete(s.refusedUntil, ep.ID)
 	if isReported && !s.throttler.IsOwner() && !ep.Limit().IsSet {
 		return
 	}
--- a/transport/endpoints/sender/permit.go
+++ b/transport/endpoints/sender/permit.go
@@ -29,7 +29,7 @@
 }
 
 // Choose returns the endpoint for the next send of a job, nil if there is none. isPermitted tells that the send has a permit.
-// Endpoints without rate limits are not kept waiting for; failed tells when the limits permit a request if all have one.
+// It waits for a permit only if there is no sound endpoint without a rate limit; failed tells when the limits permit a request.
 func (s *Sender) Choose(ctx context.Context, j *Job, tried map[string]bool) (e *discoverer.Endpoint, isPermitted bool, failed *SendError) {
 	list := s.Endpoints.Service(j.Service)
 	e = s.Pick(list, tried)
@@ -40,7 +40,7 @@
 	candidates, maxWait := []*discoverer.Endpoint{e}, time.Duration(0)
 	unlimited := slices.DeleteFunc(slices.Clone(list), func(e *discoverer.Endpoint) bool { return e.Limit().IsSet })
 	other := s.Pick(unlimited, tried)
-	if other == nil {
+	if other == nil || other.IsEjected(now) {
 		candidates = s.preferring(e, list, tried)
 		maxWait = max(0, j.LatestStart.Sub(now))
 	}
