Count a crash of an endpoint once against equal requests

One endpoint that accepted no connection for 500 ms counted as a crash, and as one for each of the equal requests that it had interrupted, so three callers with the same request and one crash convicted it on all hosts. Now one endpoint counts once until it has ended or started again.

--- a/transport/hostrunner/hostrunner.go
+++ b/transport/hostrunner/hostrunner.go
@@ -196,7 +196,7 @@
 		CrashLimit: engineCrashLimit, Retention: suspectRetention, Hosts: h.gossiper, Messenger: h.messenger, Clock: h.clock, Logs: h.logs,
 	})
 	h.endpoints = discoverer.New(nil, h.clock, h.logs)
-	h.endpoints.OnRemoved(h.isolator.RecordRemoval)
+	h.endpoints.OnRemoved(h.isolator.RecordEnd)
 	h.sender = sender.New(sender.Options{
 		DataCentre: h.cfg.DataCentre, Dialect: responder.Dialect{}, Endpoints: h.endpoints, Isolator: h.isolator,
 		Hosts: func() int { return 1 }, Retry: serviceRetryBudget, Clock: h.clock, Random: h.newRand("services"), Logs: h.logs,
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -202,7 +202,7 @@
 	isolate := isolator.New(isolator.Options{
 		CrashLimit: endpointCrashLimit, Retention: suspectRetention, Hosts: rh.gossiper, Messenger: rh.messenger, Clock: clock, Logs: logs,
 	})
-	rh.endpoints.OnRemoved(isolate.RecordRemoval)
+	rh.endpoints.OnRemoved(isolate.RecordEnd)
 	rh.endpoints.SetMetrics(rh.meter.Scope)
 	cfg.Engines.SetEndpoints(rh.endpoints)
 	rh.stageSwitcher = stageswitcher.New(stageswitcher.Options{
--- a/transport/hosts/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -56,11 +57,19 @@
 	mu         sync.Mutex
 	quarantine *quarantiner.Quarantine
 	pending    map[string][]brokenRequest
+	// counted holds, by endpoint, the requests that its crash was counted against.
+	counted map[string]*crash
+}
+
+// crash is the crash of one start of an endpoint.
+type crash struct {
+	lastCounted  time.Time
+	fingerprints map[uint64]bool
 }
 
 // New returns an Isolator and registers its message handler.
 func New(o Options) *Isolator {
-	i := &Isolator{options: o, quarantine: quarantiner.New(o.Retention, o.CrashLimit), pending: make(map[string][]brokenRequest)}
+	i := &Isolator{options: o, quarantine: quarantiner.New(o.Retention, o.CrashLimit), pending: make(map[string][]brokenRequest), counted: make(map[string]*crash)}
 	messenger.Handle(o.Messenger, kindSuspect, i.handleSuspect)
 	return i
 }
@@ -100,18 +109,48 @@
 	i.pending[endpoint] = append(i.pending[endpoint], brokenRequest{fingerprint: fingerprint, at: now})
 }
 
-// RecordRemoval counts the removal of an endpoint as a crash against the requests that it interrupted within crashWindow.
+// RecordRemoval counts an endpoint that is unreachable as a crash against the requests that it interrupted within crashWindow.
+// Until RecordEnd, one endpoint counts once against equal requests: it may have interrupted many of them, and be found
+// unreachable many times.
 func (i *Isolator) RecordRemoval(endpoint string) {
+	for _, fingerprint := range i.takeCrashed(endpoint) {
+		i.RecordCrash(endpoint, fingerprint)
+	}
+}
+
+// RecordEnd is RecordRemoval for an endpoint that is known to have ended. What starts again under its name counts anew.
+func (i *Isolator) RecordEnd(endpoint string) {
+	i.RecordRemoval(endpoint)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.counted, endpoint)
+}
+
+// takeCrashed returns the fingerprints that the crash of an endpoint counts against, and counts them.
+func (i *Isolator) takeCrashed(endpoint string) []uint64 {
 	now := i.options.Clock.Now()
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	list := i.pending[endpoint]
 	delete(i.pending, endpoint)
-	i.mu.Unlock()
+	maps.DeleteFunc(i.counted, func(_ string, c *crash) bool { return now.Sub(c.lastCounted) > crashWindow })
+	var fingerprints []uint64
 	for _, b := range list {
-		if now.Sub(b.at) <= crashWindow {
-			i.RecordCrash(endpoint, b.fingerprint)
+		if now.Sub(b.at) > crashWindow {
+			continue
+		}
+		c := i.counted[endpoint]
+		if c == nil {
+			c = &crash{fingerprints: make(map[uint64]bool)}
+			i.counted[endpoint] = c
+		}
+		c.lastCounted = now
+		if !c.fingerprints[b.fingerprint] {
+			c.fingerprints[b.fingerprint] = true
+			fingerprints = append(fingerprints, b.fingerprint)
 		}
 	}
+	return fingerprints
 }
 
 // RecordCrash counts the crash of an endpoint against a request and notifies the other hosts.
