Hold the port of a host that picks a free one until its listener starts

TestFirstRulesAreConfirmedByEveryHostInAnyStartOrder failed once beside eight busy processes: 'listen tcp 127.0.0.1:36501: bind: address already in use'. The port was looked up, released and bound again later; another process took it in between. The socket stays open now.

--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -36,6 +36,7 @@
 	hosts     []*launcher.Process
 	settings  []emulator.HostSettings
 	partition *partitioner.Partitioner
+	mu        sync.Mutex
 	random    *rand.Rand
 	lastID    atomic.Int64
 }
@@ -167,7 +168,7 @@
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	for end := time.Now().Add(d); time.Now().Before(end); <-ticker.C {
-		host := f.random.IntN(len(f.hosts))
+		host := f.pickHost()
 		c.sent++
 		wait.Go(func() {
 			began := time.Now()
@@ -189,6 +190,12 @@
 	return c
 }
 
+func (f *fleet) pickHost() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(len(f.hosts))
+}
+
 // request sends one request and returns the status of its complete answer, 0 if there is none.
 func (f *fleet) request(host int, path string) int {
 	id := fmt.Sprintf("%s/%d", f.hosts[host].Name, f.lastID.Add(1))
--- a/scenarios/limit_test.go
+++ b/scenarios/limit_test.go
@@ -1,11 +1,15 @@
 package scenarios
 
 import (
+	"context"
 	"slices"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamspan/hornbeamspan/lab/emulator"
 )
@@ -143,6 +147,50 @@
 	}
 }
 
+// Each host in turn is stopped, killed or suspended while the others serve, the owner of the services among them. Restarted
+// hosts know nothing of the limits.
+func TestTheRateLimitsAreKeptWhileHostsAreRestartedAndSuspended(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetSize{hosts: 6, prefill: 2, decode: 2, plain: 2})
+	limited := []*emulator.Endpoint{f.plain[0], f.plain[1], f.decode[0]}
+	for _, e := range limited {
+		e.SetLimit(4)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var loads sync.WaitGroup
+	for path, perSecond := range map[string]int{"/lookup/1": 40, "/brief/1": 16} {
+		loads.Go(func() {
+			for ctx.Err() == nil {
+				got := f.load(limitContact, perSecond, path)
+				t.Logf("%s: sent %d, served %d, refused %d, failed %d", path, got.sent, got.served, got.refused, got.failed)
+			}
+		})
+	}
+	for i, h := range f.hosts {
+		time.Sleep(time.Second)
+		if i%3 == 2 {
+			require.NoError(t, h.Signal(syscall.SIGSTOP))
+			time.Sleep(2 * time.Second)
+			require.NoError(t, h.Signal(syscall.SIGCONT))
+			continue
+		}
+		require.NoError(t, h.Signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[i%3]))
+		<-h.Exited()
+		require.NoError(t, h.Restart(ctx))
+	}
+	stop()
+	loads.Wait()
+	f.awaitReady()
+	f.load(limitContact, 40, "/lookup/1")
+	since := time.Now()
+	f.load(limitContact, 40, "/lookup/1")
+	assertLimitsKept(t, limited...)
+	for i, e := range limited[:2] {
+		_, perSecond := arrivals(e, since)
+		assert.GreaterOrEqual(t, perSecond, minLimitUse*4, "endpoint %d after the restarts", i)
+	}
+}
+
 // A host that starts behind a cut knows no other host. It must not take the limit for its own.
 func TestAHostThatStartsWithoutContactToOthersKeepsTheRateLimits(t *testing.T) {
 	t.Parallel()
--- a/transport/callers/listener/listener.go
+++ b/transport/callers/listener/listener.go
@@ -50,6 +50,8 @@
 	Name string
 	// Address is the address to listen on; port 0 selects a free port.
 	Address netip.AddrPort
+	// Socket is used instead of Address if it is open already.
+	Socket net.Listener
 	// TLS is nil for plain HTTP.
 	TLS    *tls.Config
 	Routes []rest.Route
@@ -120,9 +122,11 @@
 	if err != nil {
 		return nil, err
 	}
-	socket, err := net.Listen("tcp", o.Address.String())
-	if err != nil {
-		return nil, errorx.Decorate(err, "listener: unable to listen for %s", o.Name)
+	socket := o.Socket
+	if socket == nil {
+		if socket, err = net.Listen("tcp", o.Address.String()); err != nil {
+			return nil, errorx.Decorate(err, "listener: unable to listen for %s", o.Name)
+		}
 	}
 	l := &Listener{
 		options: o, handler: handler, socket: socket, conns: make(chan net.Conn),
--- a/transport/hostrunner/address.go
+++ b/transport/hostrunner/address.go
@@ -7,16 +7,28 @@
 	"github.com/joomcode/errorx"
 )
 
-// pickFreePort replaces port 0 of address with a free port, because hosts announce the address for callers to each other
-// before its listener starts.
-func pickFreePort(address netip.AddrPort) (netip.AddrPort, error) {
+// boundAddress is an address to listen on. For port 0 the socket is open already, because hosts announce the address to each
+// other before its listener starts, and a port that is only looked up can be taken by another process meanwhile.
+type boundAddress struct {
+	netip.AddrPort
+	socket net.Listener
+}
+
+// bind opens a socket on a free port if the port of address is 0.
+func bind(address netip.AddrPort) (boundAddress, error) {
 	if address.Port() != 0 {
-		return address, nil
+		return boundAddress{AddrPort: address}, nil
 	}
-	l, err := net.Listen("tcp", address.String())
+	socket, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return netip.AddrPort{}, errorx.Decorate(err, "hostrunner: unable to find a free port")
+		return boundAddress{}, errorx.Decorate(err, "hostrunner: unable to find a free port")
+	}
+	return boundAddress{AddrPort: socket.Addr().(*net.TCPAddr).AddrPort(), socket: socket}, nil
+}
+
+// close closes the socket of a host that could not be started.
+func (b boundAddress) close() {
+	if b.socket != nil {
+		_ = b.socket.Close()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
--- a/transport/hostrunner/hostrunner.go
+++ b/transport/hostrunner/hostrunner.go
@@ -126,15 +126,16 @@
 	h.messenger = messenger.New(cfg.PeerKey, logs, h.meter.Scope)
 	h.messenger.Identify(cfg.Name)
 	h.rules = rulepublisher.New(rulepublisher.Options{Log: log, Logs: logs, CheckpointInterval: cfg.CheckpointInterval, Clock: h.clock, IsOwner: func() bool { return h.isOwner(rulepublisher.Stream) }})
-	callers, err := pickFreePort(cfg.Callers)
+	callers, err := bind(cfg.Callers)
 	if err != nil {
 		return nil, err
 	}
-	peers, err := pickFreePort(cfg.Peers)
+	peers, err := bind(cfg.Peers)
 	if err != nil {
+		callers.close()
 		return nil, err
 	}
-	h.buildHosts(incarnation, callers, peers)
+	h.buildHosts(incarnation, callers.AddrPort, peers.AddrPort)
 	h.buildEndpoints()
 	h.auditor = auditor.New(cfg.Name, log, h.clock, logs)
 	h.keyOwner = keyowner.New(keyowner.Options{
@@ -143,6 +144,8 @@
 	})
 	h.buildResponder(incarnation)
 	if err := h.listen(callers, peers); err != nil {
+		callers.close()
+		peers.close()
 		return nil, err
 	}
 	h.run()
@@ -253,10 +256,10 @@
 }
 
 // listen opens the listeners. It is called when every component is ready to serve.
-func (h *Host) listen(callers, peers netip.AddrPort) error {
+func (h *Host) listen(callers, peers boundAddress) error {
 	var err error
 	h.peers, err = listener.Listen(listener.Options{
-		Name: "peers", Address: peers,
+		Name: "peers", Address: peers.AddrPort, Socket: peers.socket,
 		Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: h.messenger.Accept}},
 	})
 	if err != nil {
@@ -275,7 +278,7 @@
 		return err
 	}
 	h.callers, err = listener.Listen(listener.Options{
-		Name: "callers", Address: callers, TLS: h.cfg.TLS, Routes: h.responder.Routes(),
+		Name: "callers", Address: callers.AddrPort, Socket: callers.socket, TLS: h.cfg.TLS, Routes: h.responder.Routes(),
 		Subtrees: map[string]http.HandlerFunc{responder.ServicesPrefix: h.responder.Services()},
 	})
 	return err
