--- a/parts/coordination/throttler/throttler.go
+++ b/parts/coordination/throttler/throttler.go
@@ -47,9 +47,10 @@
 	// takeoverTime is how long after a change of the owner the former one may still permit requests.
 	takeoverTime time.Duration
 	standing     Standing
-	standingSet  time.Time
-	ownerSince   time.Time
-	endpoints    map[string]*endpoint
+	// standingSetAt is the time of the last call of SetStanding.
+	standingSetAt time.Time
+	ownerSince    time.Time
+	endpoints     map[string]*endpoint
 }
 
 // endpoint is the state of one incarnation of an endpoint.
@@ -69,8 +70,8 @@
 // SetStanding sets the present position of this host. A new owner does not know what the former one has permitted, so it
 // begins without saved requests. So does one that was suspended, as another host may have replaced it meanwhile.
 func (t *Throttler) SetStanding(now time.Time, s Standing) {
-	isNew := !t.standing.IsOwner || now.Sub(t.standingSet) > maxStandingGap
-	t.standingSet = now
+	isNew := !t.standing.IsOwner || now.Sub(t.standingSetAt) > maxStandingGap
+	t.standingSetAt = now
 	if s.IsOwner && isNew {
 		t.ownerSince = now
 		for _, e := range t.endpoints {
@@ -160,9 +161,10 @@
 	return 1
 }
 
-// Charge counts n requests that were sent to an endpoint without a permit of the owner.
+// Charge counts n requests that were sent to an endpoint without a permit of the owner. Those to an endpoint without a limit do
+// not count.
 func (t *Throttler) Charge(now time.Time, id string, incarnationStart time.Time, l Limit, n int) {
-	if n > 0 && t.standing.IsOwner {
+	if n > 0 && l.IsSet && t.standing.IsOwner {
 		t.endpoint(now, id, incarnationStart).bucket.charge(now, t.rate(now, l), n)
 	}
 }
--- a/transport/endpoints/permitter/permitter.go
+++ b/transport/endpoints/permitter/permitter.go
@@ -83,8 +83,8 @@
 
 // service is the state of one service.
 type service struct {
-	throttler   *throttler.Throttler
-	standingSet time.Time
+	throttler     *throttler.Throttler
+	standingSetAt time.Time
 	// refusedUntil holds, by endpoint, the time before which the owner permits no request.
 	refusedUntil map[string]time.Time
 	// changed holds the endpoints with changed limits that are not reported yet.
@@ -150,8 +150,8 @@
 		}
 		p.services[name] = s
 	}
-	if now.Sub(s.standingSet) >= standingLifetime {
-		s.standingSet = now
+	if now.Sub(s.standingSetAt) >= standingLifetime {
+		s.standingSetAt = now
 		s.throttler.SetStanding(now, p.standing(name))
 	}
 	return s
--- a/transport/endpoints/permitter/report.go
+++ b/transport/endpoints/permitter/report.go
@@ -75,8 +75,9 @@
 		return
 	}
 	if !isOwner {
-		owner, _ := p.Hosts.StableOwner(OwnerKey(name), isNeverUnresponsive)
-		p.send(owner.Address, report)
+		if owner, isOwn := p.Hosts.StableOwner(OwnerKey(name), isNeverUnresponsive); !isOwn {
+			p.send(owner.Address, report)
+		}
 		return
 	}
 	for _, m := range p.Hosts.Serving() {
