--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -190,13 +190,6 @@
 	e.announce()
 }
 
-// SetRetryAfter makes the endpoint answer every request with 503 and this Retry-After value; "" ends that.
-func (e *Endpoint) SetRetryAfter(value string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.retryAfter = value
-}
-
 // Arrivals returns the number of HTTP requests received, control calls included.
 func (e *Endpoint) Arrivals() int {
 	e.mu.Lock()
@@ -204,23 +197,6 @@
 	return e.arrivals
 }
 
-// rejectIfPaused counts an arrival and answers it with 503 if a Retry-After value is set.
-func (e *Endpoint) rejectIfPaused(w http.ResponseWriter) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.arrivals++
-	if e.leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	e.setLimitHeader(w)
-	if e.retryAfter == "" {
-		return false
-	}
-	w.Header().Set("Retry-After", e.retryAfter)
-	e.refuse(w, http.StatusServiceUnavailable)
-	return true
-}
-
 // RemoveEntry deletes the endpoint's entry from the store while the endpoint keeps running.
 func (e *Endpoint) RemoveEntry() { e.store.Put("keyed.servers", e.cfg.ID, nil) }
 
--- a/lab/emulator/limit.go
+++ b/lab/emulator/limit.go
@@ -30,8 +30,8 @@
 	perSecond *float64
 	changes   []LimitChange
 	arrivals  []Arrival
-	// toldAt holds, by host, when it first got an answer with a limit.
-	toldAt map[string]time.Time
+	// informedAt holds, by host, when it first got an answer with a limit.
+	informedAt map[string]time.Time
 }
 
 // SetLimit makes the endpoint state in its answers that it accepts perSecond requests from all hosts together.
@@ -69,23 +69,23 @@
 	if e.limits.perSecond == nil {
 		return
 	}
-	if e.limits.toldAt == nil {
-		e.limits.toldAt = make(map[string]time.Time)
+	if e.limits.informedAt == nil {
+		e.limits.informedAt = make(map[string]time.Time)
 	}
-	if _, ok := e.limits.toldAt[HostOf(id)]; !ok {
-		e.limits.toldAt[HostOf(id)] = now
+	if _, ok := e.limits.informedAt[HostOf(id)]; !ok {
+		e.limits.informedAt[HostOf(id)] = now
 	}
 }
 
 // LimitHistory returns the arrivals at the endpoint, its limits, and when each host first got an answer with one.
-func (e *Endpoint) LimitHistory() (arrivals []Arrival, limits []LimitChange, toldAt map[string]time.Time) {
+func (e *Endpoint) LimitHistory() (arrivals []Arrival, limits []LimitChange, informedAt map[string]time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	toldAt = make(map[string]time.Time, len(e.limits.toldAt))
-	for host, at := range e.limits.toldAt {
-		toldAt[host] = at
+	informedAt = make(map[string]time.Time, len(e.limits.informedAt))
+	for host, at := range e.limits.informedAt {
+		informedAt[host] = at
 	}
-	return append([]Arrival(nil), e.limits.arrivals...), append([]LimitChange(nil), e.limits.changes...), toldAt
+	return append([]Arrival(nil), e.limits.arrivals...), append([]LimitChange(nil), e.limits.changes...), informedAt
 }
 
 const (
@@ -94,8 +94,8 @@
 	// limitTolerance and limitAllowance are what an endpoint bears beyond its limit: a factor, and a number of requests.
 	limitTolerance = 1.5
 	limitAllowance = 5
-	// tellDelay is how long after its first answer with a limit the requests of a host count.
-	tellDelay = 500 * time.Millisecond
+	// informDelay is how long after its first answer with a limit the requests of a host count.
+	informDelay = 500 * time.Millisecond
 )
 
 // Excess is a window in which an endpoint got more requests than its limit allows.
@@ -108,7 +108,7 @@
 // LimitExcesses returns the windows with more requests than the endpoint's limit allows, from contact after the limit was
 // first stated. Requests count if their hosts have got an answer with a limit; nothing excuses a host.
 func (e *Endpoint) LimitExcesses(contact time.Duration) []Excess {
-	arrivals, changes, toldAt := e.LimitHistory()
+	arrivals, changes, informedAt := e.LimitHistory()
 	var excesses []Excess
 	first := 0
 	for i, end := range arrivals {
@@ -121,7 +121,7 @@
 		}
 		n := 0
 		for _, a := range arrivals[first : i+1] {
-			if told, ok := toldAt[HostOf(a.ID)]; ok && !told.Add(tellDelay).After(end.At) {
+			if informed, ok := informedAt[HostOf(a.ID)]; ok && !informed.Add(informDelay).After(end.At) {
 				n++
 			}
 		}
--- a/lab/emulator/limit_test.go
+++ b/lab/emulator/limit_test.go
@@ -12,12 +12,12 @@
 func limitedFor(start time.Time, limit float64, hosts, rate int) *Endpoint {
 	e := &Endpoint{}
 	e.limits.changes = []LimitChange{{At: start, PerSecond: &limit}}
-	e.limits.toldAt = make(map[string]time.Time)
+	e.limits.informedAt = make(map[string]time.Time)
 	const seconds = 10
 	for i := range seconds * rate {
 		for h := range hosts {
 			host := fmt.Sprintf("host-%d", h)
-			e.limits.toldAt[host] = start
+			e.limits.informedAt[host] = start
 			at := start.Add(time.Duration(i) * time.Second / time.Duration(rate))
 			e.limits.arrivals = append(e.limits.arrivals, Arrival{At: at, ID: host + "/1"})
 		}
@@ -37,7 +37,7 @@
 
 func TestRequestsOfHostsWithoutAnAnswerDoNotCount(t *testing.T) {
 	e := limitedFor(time.Unix(1_000_000, 0), 1, 4, 5)
-	clear(e.limits.toldAt)
+	clear(e.limits.informedAt)
 	assert.Empty(t, e.LimitExcesses(3*time.Second))
 }
 
--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -49,20 +47,6 @@
 	Args map[string][]string
 }
 
-// Process is one process of a System. Operators and Peers are set for entry hosts only.
-type Process struct {
-	Name      string
-	Address   netip.AddrPort
-	Operators netip.AddrPort
-	Peers     netip.AddrPort
-	args      []string
-	env       []string
-	bin       string
-	dir       string
-	cmd       *exec.Cmd
-	exited    chan struct{}
-}
-
 // System holds the running processes that Start and AddHost have started.
 type System struct {
 	spec      Spec
@@ -188,95 +172,6 @@
 	return p.awaitListening(ctx)
 }
 
-// Command describes a process that StartCommand starts.
-type Command struct {
-	Name string
-	// Program and Dir are the paths of the program and of the folder for its log file.
-	Program string
-	Dir     string
-	Args    []string
-	// Env holds additional environment variables as NAME=VALUE.
-	Env []string
-	// Address is where the process listens once it has started.
-	Address netip.AddrPort
-}
-
-// StartCommand starts a process outside of a System and waits until it is listening. The caller must end it with Kill.
-func StartCommand(ctx context.Context, c Command) (*Process, error) {
-	p := &Process{Name: c.Name, Address: c.Address, args: c.Args, env: c.Env, bin: c.Program, dir: c.Dir}
-	if err := p.launch(); err != nil {
-		return nil, err
-	}
-	return p, p.awaitListening(ctx)
-}
-
-// Kill ends the process and waits until it has exited.
-func (p *Process) Kill() {
-	if p.cmd == nil || p.cmd.Process == nil {
-		return
-	}
-	_ = p.cmd.Process.Kill()
-	<-p.exited
-}
-
-func (p *Process) launch() error {
-	out, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return errorx.Decorate(err, "launcher: unable to open the log file of %s", p.Name)
-	}
-	defer out.Close()
-	p.cmd = exec.Command(p.bin, p.args...)
-	p.cmd.Env = append(os.Environ(), p.env...)
-	p.cmd.Stdout = out
-	p.cmd.Stderr = out
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		return errorx.Decorate(err, "launcher: unable to start %s", p.Name)
-	}
-	p.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		_ = cmd.Wait()
-		close(exited)
-	}(p.cmd, p.exited)
-	return nil
-}
-
-func (p *Process) awaitListening(ctx context.Context) error {
-	err := Await(ctx, readyTimeout, func() bool {
-		if p.hasExited() {
-			return true
-		}
-		conn, err := net.DialTimeout("tcp", p.Address.String(), time.Second)
-		if err != nil {
-			return false
-		}
-		_ = conn.Close()
-		return true
-	})
-	if err == nil && p.hasExited() {
-		return &ExitError{Name: p.Name}
-	}
-	return err
-}
-
-func (p *Process) hasExited() bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
-
-// ExitError reports that a process exited before it was listening.
-type ExitError struct {
-	Name string
-}
-
-func (e *ExitError) Error() string {
-	return "launcher: unable to start " + e.Name + ": the process exited before it was listening; its log file has the reason"
-}
-
 // TimeoutError reports that a condition was not met in time.
 type TimeoutError struct {
 	After time.Duration
--- a/transport/endpoints/permitter/permitter_test.go
+++ b/transport/endpoints/permitter/permitter_test.go
@@ -55,12 +55,12 @@
 	n.hosts.hasMajority.Store(true)
 	m := messenger.New("key", logs, tally.NoopScope)
 	list := discoverer.New(nil, clock, logs)
-	list.Put(enroller.Endpoint{ID: "e", Service: "desk", Address: netip.MustParseAddrPort("127.0.0.1:1"), IncarnationStart: time.UnixMilli(5)}, 1)
+	list.Put(enroller.Endpoint{ID: "e", Service: "orders", Address: netip.MustParseAddrPort("127.0.0.1:1"), IncarnationStart: time.UnixMilli(5)}, 1)
 	n.Permitter = New(Options{
 		Host: name, Hosts: n.hosts, Messenger: m, Endpoints: list, MaxHosts: func() int { return sharingHosts },
 		Clock: clock, Logs: logs, Scope: tally.NoopScope,
 	})
-	n.endpoint = list.Service("desk")[0]
+	n.endpoint = list.Service("orders")[0]
 	var err error
 	n.listener, err = listener.Listen(listener.Options{
 		Name: name, Address: netip.MustParseAddrPort("127.0.0.1:0"), Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: m.Accept}},
@@ -85,7 +85,7 @@
 // permits returns how many of n requests are permitted at once, and the last refusal.
 func (n *node) permits(requests int) (permitted int, refused *sender.LimitError) {
 	for range requests {
-		if _, err := n.Acquire(context.Background(), "desk", []*discoverer.Endpoint{n.endpoint}, 0); err == nil {
+		if _, err := n.Acquire(context.Background(), "orders", []*discoverer.Endpoint{n.endpoint}, 0); err == nil {
 			permitted++
 		} else {
 			refused = err.(*sender.LimitError)
@@ -147,11 +147,11 @@
 	owner.state(10)
 	owner.permits(12)
 	began := time.Now()
-	_, err := owner.Acquire(context.Background(), "desk", []*discoverer.Endpoint{owner.endpoint}, 300*time.Millisecond)
+	_, err := owner.Acquire(context.Background(), "orders", []*discoverer.Endpoint{owner.endpoint}, 300*time.Millisecond)
 	require.NoError(t, err)
 	assert.Greater(t, time.Since(began), 20*time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err = owner.Acquire(ctx, "desk", []*discoverer.Endpoint{owner.endpoint}, time.Second)
+	_, err = owner.Acquire(ctx, "orders", []*discoverer.Endpoint{owner.endpoint}, time.Second)
 	assert.ErrorIs(t, err, context.Canceled)
 }
