Read the log through the next source at once after one has lost it

Traced: a follower learns of its source's outage, waits the first retry delay (200 ms), is given another source and waits the second (400 ms): 0.4 s to the reader's failed read, 0.125 s for the poll, and 0.6 s. Both waits were for nothing, as the next read goes to a source that answers. Such errors are retried without a delay now; each is returned once for an outage or a source.

--- a/transport/hosts/relayer/topic.go
+++ b/transport/hosts/relayer/topic.go
@@ -28,8 +28,14 @@
 	// IsNew is set the first time that an outage is reported. Entries that expired during the outage must not be treated as
 	// expired in normal operation, even if the outage is over.
 	IsNew bool
+	// IsReplaced is set if the next read uses another source.
+	IsReplaced bool
 }
 
+// MayRetryAtOnce reports whether the next read can succeed without a delay: another source has been chosen, or the source has
+// only reported its outage.
+func (e *LogUnreachableError) MayRetryAtOnce() bool { return e.IsNew || e.IsReplaced }
+
 func (e *LogUnreachableError) Error() string {
 	return "relayer: unable to read the log through " + e.Source + ": it cannot reach the log"
 }
@@ -128,7 +134,10 @@
 		return records, next, nil
 	case errors.As(err, &expired) || ctx.Err() != nil:
 		return nil, 0, err
-	case errors.As(err, &unreachable) && (unreachable.IsNew || r.handleSourceOutage(s) || !r.mayReadLog()):
+	case errors.As(err, &unreachable) && !unreachable.IsNew:
+		unreachable.IsReplaced = r.handleSourceOutage(s)
+	}
+	if unreachable != nil && (unreachable.MayRetryAtOnce() || !r.mayReadLog()) {
 		return nil, 0, err
 	}
 	records, next, logErr := t.readLog(ctx, topic, from, 0)
--- a/transport/store/tailer/tailer.go
+++ b/transport/store/tailer/tailer.go
@@ -60,6 +60,12 @@
 	return fmt.Sprintf("tailer: unable to follow %s: the log was restored from an older copy and is now in era %d", e.Topic, e.Era)
 }
 
+// ImmediateError is an error of a Log after which the next read may succeed without a delay.
+type ImmediateError interface {
+	error
+	MayRetryAtOnce() bool
+}
+
 // Sink receives the records and the state of the log. Its methods are called by one goroutine.
 type Sink interface {
 	// Record handles one record.
@@ -122,6 +128,10 @@
 			continue
 		}
 		t.reportState(err)
+		var immediate ImmediateError
+		if errors.As(err, &immediate) && immediate.MayRetryAtOnce() {
+			continue
+		}
 		t.sleep(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
