--- a/lab/emulator/config.go
+++ b/lab/emulator/config.go
@@ -18,8 +18,8 @@
 	return r
 }
 
-// PutConfig publishes a configuration with the services writer, of model engines, and desk, with a route of each kind, and
-// with the routes of more.
+// PutConfig publishes a configuration with a service of model engines, a plain service and a route of each kind, and with the
+// routes of more.
 func (s *Store) PutConfig(version int, limits ConfigLimits, more ...map[string]any) {
 	engine := map[string]any{
 		"slots": 4, "kvCapacity": 40000, "stride": 64, "kvHoldS": 0.5, "stageSwitchS": 0.2, "holdMs": 2000.0,
--- a/parts/coordination/placer/placer_test.go
+++ b/parts/coordination/placer/placer_test.go
@@ -445,8 +445,8 @@
 	}
 }
 
-// Prompts took 2 ms and runs much longer, so prefill engines moved to the decode stage, although each engine accepted only
-// 4 requests a second in either stage.
+// Prompts took 2 ms and runs much longer, so prefill engines moved to the decode stage, although each engine accepted fewer
+// requests a second than either stage can process.
 func TestEnginesWithEqualRateLimitsAreSplitEvenly(t *testing.T) {
 	p := newMeasuredPlacer(t)
 	p.prefillLoad = packer.NewPrefillLoad()
