--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -78,6 +78,9 @@
 	firstAt     time.Time
 	lastAt      time.Time
 	maxPause    time.Duration
+	// framing is how the endpoint delimited the newest answer, rest the number of bytes after its last complete event.
+	framing string
+	rest    int
 	// onFirstEvent is called at the first event, onPace after every further paceEvents events.
 	onFirstEvent func()
 	onPace       func(took time.Duration)
@@ -102,9 +105,13 @@
 // error of the endpoint's stream.
 func (rl *relay) forwardEvents(resp *http.Response) error {
 	defer resp.Body.Close()
+	rl.framing = framing(resp)
 	er := eventReader{r: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
 	for {
 		event, id, err := er.next()
+		if err != nil {
+			rl.rest = len(event)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
@@ -123,6 +130,17 @@
 	}
 }
 
+// framing returns what delimits the body of an answer: its length, chunks, or the end of the connection.
+func framing(resp *http.Response) string {
+	switch {
+	case resp.ContentLength >= 0:
+		return "length"
+	case len(resp.TransferEncoding) > 0:
+		return "chunks"
+	}
+	return "close"
+}
+
 func (rl *relay) commit(resp *http.Response) {
 	if rl.committed {
 		return
@@ -166,6 +184,10 @@
 
 // trace adds the progress of the stream to the log record.
 func (rl *relay) trace() {
+	if rl.framing != "" {
+		rl.j.Trace.Set("framing", rl.framing)
+		rl.j.Trace.Set("rest", rl.rest)
+	}
 	if rl.count == 0 {
 		return
 	}
