--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamspan/hornbeamspan/lab/emulator"
 )
@@ -48,6 +49,33 @@
 	assert.Equal(t, emulator.Events(streamEvents/2), got.body, "only complete events")
 }
 
+// The end of the connection was taken for the end of the stream, and half an event for its last one.
+func TestAStreamWithoutALengthThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+	r.configureAndAwait()
+	r.decode[0].SetFault(emulator.CutUnframed)
+	got := r.call(0, http.MethodPost, "/brief/x", "b")
+	assert.False(t, got.complete)
+	assert.Equal(t, emulator.Events(2), got.body, "only complete events")
+	r.awaitMemory()
+}
+
+func TestAStreamWithoutALengthThatEndsInsideAnEventIsResumedAtItsLastWholeEvent(t *testing.T) {
+	for range 4 { // either engine may be picked first
+		r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 2})
+		r.configureAndAwait()
+		r.decode[0].SetFault(emulator.CutUnframed)
+		got := r.call(0, http.MethodPost, "/scope/x", "b")
+		assert.True(t, got.complete)
+		assert.Equal(t, emulator.Events(streamEvents), got.body)
+		if len(r.decode[0].Runs()) > 0 {
+			require.Len(t, r.decode[1].Runs(), 1)
+			assert.Equal(t, "2", r.decode[1].Runs()[0].LastEventID)
+		}
+		r.close()
+	}
+}
+
 // A prefill that outlasts its placement because the engine hangs must not lower the rating of the other prefill engines.
 func TestAPrefillEngineThatHangsDoesNotAffectTheUseOfTheOthers(t *testing.T) {
 	r := newRig(t, sizes{hosts: 1, prefill: 3, decode: 2})
--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -46,6 +46,9 @@
 	Slow Fault = "slow"
 	// Unframed sends answers without a length, ended by the end of the connection.
 	Unframed Fault = "unframed"
+	// CutUnframed ends the connection of an answer without a length too soon: a stream in the middle of its third event, a plain
+	// answer halfway. The endpoint goes on.
+	CutUnframed Fault = "cut unframed"
 	// Reset resets the connection halfway through an answer without a length.
 	Reset Fault = "reset"
 )
@@ -356,8 +359,8 @@
 	case ExtraAnswer:
 		writeTwoAnswers(w, id)
 		return
-	case Garbage, Unframed, Reset, EndlessHeader, EndlessBody, EndlessEvent, Drip:
-		e.writeRawAnswer(w, id, fault)
+	case Garbage, Unframed, CutUnframed, Reset, EndlessHeader, EndlessBody, EndlessEvent, Drip:
+		e.writeRawAnswer(w, r, id, fault)
 		return
 	case Healthy, Refuse, Fail, Truncate, EarlyAnswer, Slow:
 	}
--- a/lab/emulator/engine.go
+++ b/lab/emulator/engine.go
@@ -149,22 +149,24 @@
 func Events(n int) string {
 	var b strings.Builder
 	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+		b.WriteString(event(i))
 	}
 	return b.String()
 }
 
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i) }
+
 func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // an absent header means a new stream
 	control := http.NewResponseController(w)
 	for i := last + 1; i <= e.cfg.Events; i++ {
-		if fault == Truncate && i == last+3 {
+		if fault == Truncate && i == last+cutEvents+1 {
 			_, _ = io.WriteString(w, "id: 99\ndata: half an ev")
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i); err != nil {
+		if _, err := io.WriteString(w, event(i)); err != nil {
 			return
 		}
 		_ = control.Flush()
--- a/lab/emulator/raw.go
+++ b/lab/emulator/raw.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -23,7 +24,7 @@
 }
 
 // writeRawAnswer writes an answer with protocol faults directly to the connection.
-func (e *Endpoint) writeRawAnswer(w http.ResponseWriter, id string, fault Fault) {
+func (e *Endpoint) writeRawAnswer(w http.ResponseWriter, r *http.Request, id string, fault Fault) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -42,11 +43,33 @@
 		_, _ = io.WriteString(conn, head+body)
 		return
 	}
+	if fault == CutUnframed && e.cfg.Events > 0 {
+		e.writeCutStream(conn, head, r.Header.Get("Last-Event-Id"))
+		return
+	}
 	_, _ = io.WriteString(conn, head+body[:len(body)/2])
+	if fault == CutUnframed {
+		return
+	}
 	time.Sleep(resetDelay)
 	_ = conn.(*net.TCPConn).SetLinger(0)
 }
 
+// writeCutStream writes two events after the last one that the caller has, and half of the next.
+func (e *Endpoint) writeCutStream(conn net.Conn, head, lastEventID string) {
+	last, _ := strconv.Atoi(lastEventID) // an absent header means a new stream
+	_, err := io.WriteString(conn, head)
+	for i := last + 1; i <= min(last+cutEvents, e.cfg.Events) && err == nil; i++ {
+		_, err = io.WriteString(conn, event(i))
+		time.Sleep(e.cfg.EventInterval)
+	}
+	half := event(last + cutEvents + 1)
+	_, _ = io.WriteString(conn, half[:len(half)/2])
+}
+
+// cutEvents is the number of whole events before a stream is cut.
+const cutEvents = 2
+
 // writeEndless writes an endless answer until the caller closes the connection. It returns false for other faults.
 func writeEndless(conn net.Conn, id string, fault Fault) bool {
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n"
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -23,6 +23,9 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/partitioner"
 )
 
+// engineEvents is the number of events of a whole stream.
+const engineEvents = 6
+
 // fleetReadyTimeout limits the wait until all hosts of a fleet list each other.
 const fleetReadyTimeout = 20 * time.Second
 
@@ -50,7 +53,7 @@
 	f := &fleet{t: t, store: emulator.NewStore(), partition: partitioner.New(), random: rand.New(rand.NewPCG(1, 1))}
 	t.Cleanup(f.stop)
 	engine := emulator.Config{
-		Service: "writer", Slots: 16, MemoryTokens: 200_000, Events: 6, EventInterval: 5 * time.Millisecond, StageSwitchTime: 200 * time.Millisecond,
+		Service: "writer", Slots: 16, MemoryTokens: 200_000, Events: engineEvents, EventInterval: 5 * time.Millisecond, StageSwitchTime: 200 * time.Millisecond,
 	}
 	add := func(list *[]*emulator.Endpoint, n int, c emulator.Config, name, stage string) {
 		for i := range n {
@@ -162,32 +165,50 @@
 
 // load sends requests to random hosts at a steady rate and waits for all answers.
 func (f *fleet) load(d time.Duration, perSecond int, path string) counts {
+	var c counts
+	f.sendSteadily(d, perSecond, path, func(status int, _ string, took time.Duration) {
+		c.sent++
+		switch status {
+		case http.StatusOK:
+			c.served++
+		case http.StatusServiceUnavailable:
+			c.refused++
+			c.refusalTimes = append(c.refusalTimes, took)
+		default:
+			c.failed++
+		}
+	})
+	return c
+}
+
+// collect sends requests like load and returns the bodies of the successful answers that were complete for their callers.
+func (f *fleet) collect(d time.Duration, perSecond int, path string) []string {
+	var bodies []string
+	f.sendSteadily(d, perSecond, path, func(status int, body string, _ time.Duration) {
+		if status == http.StatusOK {
+			bodies = append(bodies, body)
+		}
+	})
+	return bodies
+}
+
+// sendSteadily sends requests to random hosts at a steady rate and calls handle with each answer, one at a time.
+func (f *fleet) sendSteadily(d time.Duration, perSecond int, path string, handle func(status int, body string, took time.Duration)) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	var c counts
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
 	for end := time.Now().Add(d); time.Now().Before(end); <-ticker.C {
 		host := f.pickHost()
-		c.sent++
 		wait.Go(func() {
 			began := time.Now()
-			status := f.request(host, path)
+			status, body := f.request(host, path)
 			mu.Lock()
 			defer mu.Unlock()
-			switch status {
-			case http.StatusOK:
-				c.served++
-			case http.StatusServiceUnavailable:
-				c.refused++
-				c.refusalTimes = append(c.refusalTimes, time.Since(began))
-			default:
-				c.failed++
-			}
+			handle(status, body, time.Since(began))
 		})
 	}
 	wait.Wait()
-	return c
 }
 
 func (f *fleet) pickHost() int {
@@ -196,8 +217,8 @@
 	return f.random.IntN(len(f.hosts))
 }
 
-// request sends one request and returns the status of its complete answer, 0 if there is none.
-func (f *fleet) request(host int, path string) int {
+// request sends one request and returns the status and the body of its complete answer, 0 if there is none.
+func (f *fleet) request(host int, path string) (status int, body string) {
 	id := fmt.Sprintf("%s/%d", f.hosts[host].Name, f.lastID.Add(1))
 	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s", f.hosts[host].Address, path), strings.NewReader(id))
 	require.NoError(f.t, err)
@@ -212,11 +233,12 @@
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
 	}
-	return resp.StatusCode
+	return resp.StatusCode, string(data)
 }
--- /dev/null
+++ b/transport/callers/router/stream_test.go
@@ -0,0 +1,242 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
+)
+
+// The ways in which an engine delimits a stream.
+const (
+	byClose  = "close"
+	byChunks = "chunks"
+	byLength = "length"
+)
+
+// streamEvents are the events of a whole stream, with lines that end in LF and in CR LF, a multi-byte character, a comment
+// and an event of several lines.
+var streamEvents = []string{
+	"id: 1\ndata: première\n\n",
+	"id: 2\r\ndata: €uro\r\n\r\n",
+	": a comment\nid: 3\nevent: piece\ndata: one\ndata: two\n\n",
+	"id: 4\ndata: last\n\n",
+}
+
+// eventsUpTo returns the events that end within the first n bytes of the stream.
+func eventsUpTo(n int) []string {
+	end := 0
+	for i, e := range streamEvents {
+		if end += len(e); end > n {
+			return streamEvents[:i]
+		}
+	}
+	return streamEvents
+}
+
+// rawEngine sends a stream in the given framing and ends the connection after some bytes of its body. Every run after the
+// first one is whole, in chunks, and begins after the last event that the router has.
+type rawEngine struct {
+	framing string
+	bytes   int
+	isReset bool
+	// isFramedAsWhole is set if the framing says that the body ends there.
+	isFramedAsWhole bool
+
+	runs    atomic.Int64
+	resumed atomic.Value
+}
+
+func (e *rawEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.runs.Add(1) > 1 {
+		last := r.Header.Get("Last-Event-Id")
+		e.resumed.Store(last)
+		for i, event := range streamEvents {
+			if fmt.Sprint(i+1) > last {
+				_, _ = io.WriteString(w, event)
+			}
+		}
+		return
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	body := strings.Join(streamEvents, "")
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	switch e.framing {
+	case byLength:
+		length := len(body)
+		if e.isFramedAsWhole {
+			length = e.bytes
+		}
+		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
+	case byChunks:
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+	default:
+		head += "\r\n"
+	}
+	sent := body[:e.bytes]
+	if e.framing == byChunks && sent != "" {
+		sent = fmt.Sprintf("%x\r\n%s\r\n", len(sent), sent)
+	}
+	if e.framing == byChunks && (e.isFramedAsWhole || e.bytes == len(body)) {
+		sent += "0\r\n\r\n"
+	}
+	_, _ = io.WriteString(conn, head+sent)
+	if e.isReset {
+		time.Sleep(10 * time.Millisecond) // a reset discards unread bytes
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// lastEventDialect passes on the ID after which a stream is resumed.
+type lastEventDialect struct{ noHeaders }
+
+func (lastEventDialect) IsOwn(string) bool                               { return false }
+func (lastEventDialect) Answer(*http.Response, string) (a sender.Answer) { return a }
+func (lastEventDialect) Send(h http.Header, s sender.Send) {
+	h.Del("Last-Event-Id")
+	if s.LastEventID != "" {
+		h.Set("Last-Event-Id", s.LastEventID)
+	}
+}
+
+type alone struct{}
+
+func (alone) Self() tracker.Member      { return tracker.Member{} }
+func (alone) Serving() []tracker.Member { return nil }
+
+// callerView is what a caller saw of an answer.
+type callerView struct {
+	status     int
+	body       string
+	isComplete bool
+}
+
+// callStream sends a stream through a router with two endpoints that the engine serves.
+func callStream(t *testing.T, engine *rawEngine, isResumable bool) callerView {
+	clock, logs := clockwork.NewRealClock(), hclog.NewNullLogger()
+	list := discoverer.New(nil, clock, logs)
+	for i := range 2 {
+		server := httptest.NewServer(engine)
+		defer server.Close()
+		address := server.Listener.Addr().(*net.TCPAddr).AddrPort()
+		list.Put(enroller.Endpoint{ID: fmt.Sprint(i), Service: "writer", Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port())}, 1)
+	}
+	rt := New(Options{
+		Dialect: lastEventDialect{}, Clock: clock, Scope: tally.NoopScope, Logs: logs,
+		Sender: sender.New(sender.Options{
+			Dialect: lastEventDialect{}, Endpoints: list, Hosts: func() int { return 1 },
+			Retry: sender.RetryBudget{Ratio: 1, Allowance: 10, Window: time.Minute},
+			Isolator: isolator.New(isolator.Options{
+				CrashLimit: 3, Retention: time.Minute, Hosts: alone{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
+			}),
+			Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: logs, Scope: tally.NoopScope,
+		}),
+	})
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		rt.stream(ctx, w, &job{
+			Job: sender.Job{
+				ID: "1", Service: "writer", Method: http.MethodPost, Target: "/", Expires: clock.Now().Add(5 * time.Second), MaxAttempts: 2,
+			},
+			started: clock.Now(), route: &matcher.Route{Kind: matcher.Stream, Resumable: isResumable},
+		})
+	}))
+	defer host.Close()
+	resp, err := http.Get(host.URL)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return callerView{status: resp.StatusCode, body: string(data), isComplete: err == nil}
+}
+
+// An engine ended a stream without a length in the middle of an event, and its caller got half the event and a regular end. Each
+// byte of a stream is a cut point here, in each framing, by a close and by a reset of the connection.
+func TestAStreamIsCompleteForItsCallerOnlyIfItEndedBetweenEvents(t *testing.T) {
+	whole := strings.Join(streamEvents, "")
+	for _, framing := range []string{byClose, byChunks, byLength} {
+		for _, isReset := range []bool{false, true} {
+			for n := range len(whole) + 1 {
+				engine := &rawEngine{framing: framing, bytes: n, isReset: isReset}
+				got := callStream(t, engine, false)
+				events := strings.Join(eventsUpTo(n), "")
+				name := fmt.Sprintf("%s, reset %t, cut after %q", framing, isReset, whole[max(0, n-12):n])
+				mayLookComplete := n == len(whole)
+				if framing == byClose {
+					mayLookComplete = !isReset && n > 0 && len(events) == n
+				}
+				assert.EqualValues(t, 1, engine.runs.Load(), name)
+				if events == "" {
+					assert.Equal(t, http.StatusBadGateway, got.status, name)
+					continue
+				}
+				assert.Equal(t, events, got.body, name)
+				if !isReset || !mayLookComplete { // a reset may overtake the end of a framed stream
+					assert.Equal(t, mayLookComplete, got.isComplete, name)
+				}
+			}
+		}
+	}
+}
+
+func TestABrokenStreamIsResumedAfterItsLastWholeEvent(t *testing.T) {
+	whole := strings.Join(streamEvents, "")
+	for _, framing := range []string{byClose, byChunks, byLength} {
+		for _, isReset := range []bool{false, true} {
+			for n := range len(whole) {
+				events := eventsUpTo(n)
+				if framing == byClose && !isReset && n > 0 && len(strings.Join(events, "")) == n {
+					continue // ends between two events, as a whole stream does
+				}
+				engine := &rawEngine{framing: framing, bytes: n, isReset: isReset}
+				got := callStream(t, engine, true)
+				name := fmt.Sprintf("%s, reset %t, cut after %q", framing, isReset, whole[max(0, n-12):n])
+				assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, got, name)
+				last := ""
+				if len(events) > 0 {
+					last = fmt.Sprint(len(events))
+				}
+				assert.Equal(t, last, engine.resumed.Load(), name)
+			}
+		}
+	}
+}
+
+func TestAStreamThatEndsInsideAnEventIsBrokenOffHoweverItIsFramed(t *testing.T) {
+	whole := strings.Join(streamEvents, "")
+	cut := len(streamEvents[0]) + 9
+	for _, framing := range []string{byChunks, byLength} {
+		got := callStream(t, &rawEngine{framing: framing, bytes: cut, isFramedAsWhole: true}, false)
+		assert.Equal(t, callerView{status: http.StatusOK, body: streamEvents[0]}, got, framing)
+		got = callStream(t, &rawEngine{framing: framing, bytes: cut, isFramedAsWhole: true}, true)
+		assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, got, framing)
+		got = callStream(t, &rawEngine{framing: framing, bytes: len(whole), isFramedAsWhole: true}, false)
+		assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, got, framing)
+	}
+}
