Break off streams that end inside an event; resume them at the last whole one

Cause: the reader of events took the end of the connection for the end of the stream in any place. Half an event was passed on, its ID was taken over, and the answer was closed regularly, because an answer without length or chunks ends with its connection.

The reader is a package of its own (protocol/splitter, with a fuzz target) and tells an end between two events from one inside an event, whatever frames the answer. What is half there is not passed on; the stream is aborted, or goes on after its last whole event where the route allows it; health, crash evidence and budget count it like any other interruption. An unframed stream without a single event counts as broken off, too: nothing tells it from an engine that ended before it wrote. Comments no longer count as events.

Ruled out: lost resets (they break off and always did), chunks whose terminator follows half an event (the same rule covers it).

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 fuzz:
 	cd parts && go test -run xxx -fuzz FuzzParse -fuzztime 20s ./coordination/parser
 	go test -run xxx -fuzz FuzzDecode -fuzztime 20s ./protocol/encoder
+	go test -run xxx -fuzz FuzzSplit -fuzztime 20s ./protocol/splitter
 
 clean:
 	rm -rf $(BIN) out
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -1,69 +1,21 @@
 package router
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
+	"github.com/hornbeamspan/hornbeamspan/protocol/splitter"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
 )
 
-// eventBufferBytes is the size of the read buffer; most events are smaller.
-const eventBufferBytes = 4 << 10
-
-// maxEventBytes bounds one event; a longer one counts as a broken stream.
-const maxEventBytes = 64 << 10
-
-// EventTooLongError reports an event that is longer than maxEventBytes.
-type EventTooLongError struct {
-	Read int
-}
-
-func (e *EventTooLongError) Error() string {
-	return fmt.Sprintf("router: unable to read event: expected its end, got %d bytes without one", e.Read)
-}
-
 // paceEvents is the number of events over which the pace of a stream is measured.
 const paceEvents = 12
 
-// eventReader reads complete events from a stream.
-type eventReader struct {
-	r *bufio.Reader
-}
-
-// next returns one event including its terminator. At the end of the stream the error is io.EOF, and the bytes are those
-// after the last event.
-func (er *eventReader) next() (event []byte, id string, err error) {
-	for {
-		line, err := er.r.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return nil, id, &EventTooLongError{Read: len(event)}
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return event, id, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return event, id, nil
-		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = strings.TrimSpace(string(value))
-		}
-	}
-}
-
 // relay forwards one stream to the caller; the stream may be resumed at another endpoint.
 type relay struct {
 	router    *Router
@@ -101,44 +53,58 @@
 	return "router: unable to write to the caller: " + e.Reason
 }
 
-// forwardEvents forwards the events of resp until the stream ends. The error is a *CallerDisconnectedError or the read
-// error of the endpoint's stream.
+// EmptyStreamError reports a stream without a length that ended before its first event.
+type EmptyStreamError struct{}
+
+func (e *EmptyStreamError) Error() string {
+	return "router: unable to read a stream without a length: its connection ended before the first event"
+}
+
+// forwardEvents forwards the events of resp until the stream ends. The error is a *CallerDisconnectedError, the read error of
+// the endpoint's stream, or tells that the stream was broken off.
 func (rl *relay) forwardEvents(resp *http.Response) error {
 	defer resp.Body.Close()
 	rl.framing = framing(resp)
-	er := eventReader{r: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
+	events := splitter.New(resp.Body)
+	before := rl.count
 	for {
-		event, id, err := er.next()
-		if err != nil {
-			rl.rest = len(event)
+		event, err := events.Next()
+		rl.rest = events.Rest()
+		if errors.Is(err, io.EOF) {
+			if rl.framing == framedByClose && rl.count == before {
+				return &EmptyStreamError{}
+			}
+			rl.commit(resp)
+			return nil
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		if err != nil {
 			return err
 		}
-		if len(event) > 0 {
-			if werr := rl.write(resp, event); werr != nil {
-				return werr
-			}
-		}
-		if id != "" {
-			rl.lastEventID = id
+		if err := rl.write(resp, event); err != nil {
+			return err
 		}
-		if err != nil {
-			rl.commit(resp)
-			return nil
+		if event.ID != "" {
+			rl.lastEventID = event.ID
 		}
 	}
 }
 
+// What delimits the body of an answer.
+const (
+	framedByLength = "length"
+	framedByChunks = "chunks"
+	framedByClose  = "close"
+)
+
 // framing returns what delimits the body of an answer: its length, chunks, or the end of the connection.
 func framing(resp *http.Response) string {
 	switch {
 	case resp.ContentLength >= 0:
-		return "length"
+		return framedByLength
 	case len(resp.TransferEncoding) > 0:
-		return "chunks"
+		return framedByChunks
 	}
-	return "close"
+	return framedByClose
 }
 
 func (rl *relay) commit(resp *http.Response) {
@@ -150,8 +116,22 @@
 	rl.w.WriteHeader(resp.StatusCode)
 }
 
-func (rl *relay) write(resp *http.Response, event []byte) error {
+// write forwards one event. Comments do not count as events.
+func (rl *relay) write(resp *http.Response, event splitter.Event) error {
 	rl.commit(resp)
+	if !event.IsComment {
+		rl.countEvent()
+	}
+	if _, err := rl.w.Write(event.Bytes); err != nil {
+		return &CallerDisconnectedError{Reason: err.Error()}
+	}
+	if err := rl.control.Flush(); err != nil {
+		return &CallerDisconnectedError{Reason: err.Error()}
+	}
+	return nil
+}
+
+func (rl *relay) countEvent() {
 	now := rl.router.Clock.Now()
 	if rl.count == 0 {
 		rl.firstAt = now
@@ -167,13 +147,6 @@
 		rl.onPace(now.Sub(rl.paceMeasuredAt))
 		rl.paceMeasuredAt = now
 	}
-	if _, err := rl.w.Write(event); err != nil {
-		return &CallerDisconnectedError{Reason: err.Error()}
-	}
-	if err := rl.control.Flush(); err != nil {
-		return &CallerDisconnectedError{Reason: err.Error()}
-	}
-	return nil
 }
 
 // complete logs a stream that ended regularly.
