--- a/protocol/splitter/splitter_test.go
+++ b/protocol/splitter/splitter_test.go
@@ -27,8 +27,10 @@
 	events, _, err := split(iotest.OneByteReader(strings.NewReader(text)))
 	assert.ErrorIs(t, err, io.EOF)
 	assert.Equal(t, []Event{
-		{Bytes: []byte("id: 1\ndata: one\n\n"), ID: "1"}, {Bytes: []byte("id:2\r\ndata: two\r\n\r\n"), ID: "2"},
-		{Bytes: []byte(": ping\n\n"), IsComment: true}, {Bytes: []byte("data: three\nid: 3\n\n"), ID: "3"},
+		{Bytes: []byte("id: 1\ndata: one\n\n"), ID: "1"},
+		{Bytes: []byte("id:2\r\ndata: two\r\n\r\n"), ID: "2"},
+		{Bytes: []byte(": ping\n\n"), IsComment: true},
+		{Bytes: []byte("data: three\nid: 3\n\n"), ID: "3"},
 	}, events)
 }
 
