Break off JSON documents without a length that are cut

A plain answer, the answer to a prefill or a call between services that has neither length nor chunks ended regularly wherever its endpoint broke it off, and the caller got part of a document as a success. A JSON document has an end of its own, so one that cannot be parsed is broken off now: 502 for what may have run, another endpoint for what may run again. Other types have no end of their own: what the endpoint closes counts as whole, as the users' pages say (a reset never does).

--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -31,7 +31,7 @@
 	lastAt      time.Time
 	maxPause    time.Duration
 	// framing is how the endpoint delimited the newest answer, rest the number of bytes after its last complete event.
-	framing string
+	framing sender.Framing
 	rest    int
 	// onFirstEvent is called at the first event, onPace after every further paceEvents events.
 	onFirstEvent func()
@@ -64,14 +64,14 @@
 // the endpoint's stream, or tells that the stream was broken off.
 func (rl *relay) forwardEvents(resp *http.Response) error {
 	defer resp.Body.Close()
-	rl.framing = framing(resp)
+	rl.framing = sender.FramingOf(resp)
 	events := splitter.New(resp.Body)
 	before := rl.count
 	for {
 		event, err := events.Next()
 		rl.rest = events.Rest()
 		if errors.Is(err, io.EOF) {
-			if rl.framing == framedByClose && rl.count == before {
+			if rl.framing == sender.FramedByClose && rl.count == before {
 				return &EmptyStreamError{}
 			}
 			rl.commit(resp)
@@ -89,24 +89,6 @@
 	}
 }
 
-// What delimits the body of an answer.
-const (
-	framedByLength = "length"
-	framedByChunks = "chunks"
-	framedByClose  = "close"
-)
-
-// framing returns what delimits the body of an answer: its length, chunks, or the end of the connection.
-func framing(resp *http.Response) string {
-	switch {
-	case resp.ContentLength >= 0:
-		return framedByLength
-	case len(resp.TransferEncoding) > 0:
-		return framedByChunks
-	}
-	return framedByClose
-}
-
 func (rl *relay) commit(resp *http.Response) {
 	if rl.committed {
 		return
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -199,6 +199,9 @@
 	if err != nil {
 		return nil, s.AnswerInterrupted(ctx, j, e, err.Error())
 	}
+	if isCutDocument(resp, body) {
+		return nil, s.AnswerInterrupted(ctx, j, e, "the answer has no length and ends inside its document")
+	}
 	s.updateHealth(e, resp.StatusCode, s.Clock.Now().Sub(start))
 	return &Reply{Endpoint: e, Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
--- a/transport/endpoints/sender/sender_test.go
+++ b/transport/endpoints/sender/sender_test.go
@@ -152,3 +152,32 @@
 		assert.False(t, s.Isolator.IsSuspect(j.Fingerprint), name)
 	}
 }
+
+// writeUnframed returns a handler that answers without a length and closes the connection.
+func writeUnframed(contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: "+contentType+"\r\n\r\n"+body)
+	}
+}
+
+// A document without a length that is cut has a regular end. A caller got half of it as a success.
+func TestADocumentWithoutALengthIsCompleteOnlyIfItCanBeParsed(t *testing.T) {
+	const document = `{"ticket":"é","items":[1,{"n":2}]}`
+	for n := range len(document) {
+		_, err := newSender(t, writeUnframed("application/json; charset=utf-8", document[:n])).AtMostOnce(context.Background(), newJob())
+		var failed *SendError
+		if assert.ErrorAs(t, err, &failed, document[:n]) {
+			assert.Equal(t, Unknown, failed.Outcome, document[:n])
+		}
+	}
+	for _, c := range [][2]string{{"application/json", document}, {"text/plain", document[:9]}, {"", ""}} {
+		reply, err := newSender(t, writeUnframed(c[0], c[1])).AtMostOnce(context.Background(), newJob())
+		require.NoError(t, err)
+		assert.Equal(t, c[1], string(reply.Body))
+	}
+}
