Break off a stream without a length whose engine ended with it

An unframed stream that ends between two events looks whole although the engine that wrote it may have crashed or exited. When such a stream ends, the host connects to the engine once: one that refuses the connection has ended, and the stream is aborted or resumed. All events were passed on before, so sound streams lose nothing but the time of a connection at their end; streams with a length or chunks are not checked. An engine that does not answer within 100 ms counts as sound (it may be slow or cut off).

Undecidable, and passed on as whole: an engine that goes on and closes a stream without a length between two events; a plain answer without a length that is no JSON document and ends by a close.

TestAStreamWithoutALengthWhoseEngineHasEndedIsBrokenOff failed at each of the four events before and passes; an engine that is slow to close (500 ms) breaks nothing, before and now.

--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -60,9 +60,16 @@
 	return "router: unable to read a stream without a length: its connection ended before the first event"
 }
 
-// forwardEvents forwards the events of resp until the stream ends. The error is a *CallerDisconnectedError, the read error of
+// EngineEndedError reports a stream without a length that ended together with its endpoint.
+type EngineEndedError struct{}
+
+func (e *EngineEndedError) Error() string {
+	return "router: unable to tell a stream without a length from a partial one: its endpoint has ended"
+}
+
+// forwardEvents forwards the events of resp from e until the stream ends. The error is a *CallerDisconnectedError, the read error of
 // the endpoint's stream, or tells that the stream was broken off.
-func (rl *relay) forwardEvents(resp *http.Response) error {
+func (rl *relay) forwardEvents(ctx context.Context, e *discoverer.Endpoint, resp *http.Response) error {
 	defer resp.Body.Close()
 	rl.framing = sender.FramingOf(resp)
 	events := splitter.New(resp.Body)
@@ -71,11 +78,7 @@
 		event, err := events.Next()
 		rl.rest = events.Rest()
 		if errors.Is(err, io.EOF) {
-			if rl.framing == sender.FramedByClose && rl.count == before {
-				return &EmptyStreamError{}
-			}
-			rl.commit(resp)
-			return nil
+			return rl.finish(ctx, e, resp, rl.count-before)
 		}
 		if err != nil {
 			return err
@@ -89,6 +92,21 @@
 	}
 }
 
+// finish ends a stream after n events of resp, none of them partial. Without a length, an end between two events may be that of
+// the endpoint. The events have been forwarded before, so the check delays the end only.
+func (rl *relay) finish(ctx context.Context, e *discoverer.Endpoint, resp *http.Response, n int) error {
+	if rl.framing == sender.FramedByClose {
+		if n == 0 {
+			return &EmptyStreamError{}
+		}
+		if rl.router.Sender.HasEnded(ctx, e) {
+			return &EngineEndedError{}
+		}
+	}
+	rl.commit(resp)
+	return nil
+}
+
 func (rl *relay) commit(resp *http.Response) {
 	if rl.committed {
 		return
@@ -173,7 +191,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return rl.forwardFailure(ctx, e, resp, begun)
 	}
-	err = rl.forwardEvents(resp)
+	err = rl.forwardEvents(ctx, e, resp)
 	var disconnected *CallerDisconnectedError
 	switch {
 	case err == nil:
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -64,8 +64,15 @@
 	isReset bool
 	// isFramedAsWhole is set if the framing says that the body ends there.
 	isFramedAsWhole bool
+	// hasEnded has the endpoint of the first run refuse connections from its end on.
+	hasEnded bool
+	// closeDelay is the time between the last byte of the first run and its end.
+	closeDelay time.Duration
+	// isRestarted has all runs begin with the first event.
+	isRestarted bool
 
 	runs    atomic.Int64
+	servers []*httptest.Server
 	resumed atomic.Value
 }
 
@@ -74,7 +81,7 @@
 		last := r.Header.Get("Last-Event-Id")
 		e.resumed.Store(last)
 		for i, event := range streamEvents {
-			if fmt.Sprint(i+1) > last {
+			if e.isRestarted || fmt.Sprint(i+1) > last {
 				_, _ = io.WriteString(w, event)
 			}
 		}
@@ -107,12 +114,24 @@
 		sent += "0\r\n\r\n"
 	}
 	_, _ = io.WriteString(conn, head+sent)
+	time.Sleep(e.closeDelay)
+	if e.hasEnded {
+		e.closeListener(conn.LocalAddr())
+	}
 	if e.isReset {
 		time.Sleep(10 * time.Millisecond) // a reset discards unread bytes
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 }
 
+func (e *rawEngine) closeListener(address net.Addr) {
+	for _, s := range e.servers {
+		if s.Listener.Addr().String() == address.String() {
+			_ = s.Listener.Close()
+		}
+	}
+}
+
 // lastEventDialect passes on the ID after which a stream is resumed.
 type lastEventDialect struct{ noHeaders }
 
@@ -141,9 +160,11 @@
 func callStream(t *testing.T, engine *rawEngine, isResumable bool) callerView {
 	clock, logs := clockwork.NewRealClock(), hclog.NewNullLogger()
 	list := discoverer.New(nil, clock, logs)
+	engine.servers = nil
 	for i := range 2 {
 		server := httptest.NewServer(engine)
 		defer server.Close()
+		engine.servers = append(engine.servers, server)
 		address := server.Listener.Addr().(*net.TCPAddr).AddrPort()
 		list.Put(enroller.Endpoint{ID: fmt.Sprint(i), Service: "writer", Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port())}, 1)
 	}
@@ -240,3 +261,27 @@
 		assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, got, framing)
 	}
 }
+
+// A stream without a length that ends between two events looks whole. It is not if its engine ended with it.
+func TestAStreamWithoutALengthWhoseEngineHasEndedIsBrokenOff(t *testing.T) {
+	whole := strings.Join(streamEvents, "")
+	for n := 1; n <= len(streamEvents); n++ {
+		sent := strings.Join(streamEvents[:n], "")
+		got := callStream(t, &rawEngine{framing: byClose, bytes: len(sent), hasEnded: true}, false)
+		assert.Equal(t, callerView{status: http.StatusOK, body: sent}, got, "%d events", n)
+		got = callStream(t, &rawEngine{framing: byClose, bytes: len(sent)}, false)
+		assert.Equal(t, callerView{status: http.StatusOK, body: sent, isComplete: true}, got, "%d events of an engine that goes on", n)
+	}
+	sent := strings.Join(streamEvents[:2], "")
+	got := callStream(t, &rawEngine{framing: byClose, bytes: len(sent), hasEnded: true}, true)
+	assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, got)
+}
+
+func TestAStreamWhoseEngineIsSlowToCloseItsConnectionIsNotBrokenOff(t *testing.T) {
+	whole := strings.Join(streamEvents, "")
+	for _, framing := range []string{byClose, byChunks, byLength} {
+		engine := &rawEngine{framing: framing, bytes: len(whole), closeDelay: 500 * time.Millisecond}
+		assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, callStream(t, engine, true), framing)
+		assert.EqualValues(t, 1, engine.runs.Load(), framing)
+	}
+}
--- a/transport/endpoints/sender/framing.go
+++ b/transport/endpoints/sender/framing.go
@@ -1,9 +1,16 @@
 package sender
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"mime"
+	"net"
 	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 )
 
 // Framing is what delimits the body of an answer.
@@ -28,6 +35,20 @@
 	return FramedByClose
 }
 
+// endCheckTimeout bounds the check whether an endpoint has ended.
+const endCheckTimeout = 100 * time.Millisecond
+
+// HasEnded reports whether an endpoint refuses connections. One that does not answer in time may be slow, or cut off.
+func (s *Sender) HasEnded(ctx context.Context, e *discoverer.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.Address.String())
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // isCutDocument reports whether a body is a document that cannot end where it does, and nothing else delimits it.
 func isCutDocument(resp *http.Response, body []byte) bool {
 	if FramingOf(resp) != FramedByClose {
