Break off a resumed stream that begins anew

IDs that are no numbers cannot be compared and are passed on. TestAResumedStreamThatBeginsAnewIsBrokenOff failed before (events 1 and 2 twice, complete) and passes.

--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
@@ -60,6 +62,23 @@
 	return "router: unable to read a stream without a length: its connection ended before the first event"
 }
 
+// RepeatedEventError reports a resumed stream with an event that the caller has already.
+type RepeatedEventError struct {
+	ID   string
+	Last string
+}
+
+func (e *RepeatedEventError) Error() string {
+	return fmt.Sprintf("router: unable to resume stream: expected an event after %s, got %s", e.Last, e.ID)
+}
+
+// isAfter reports whether an event ID follows another. Only numbers can be compared.
+func isAfter(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || n > m
+}
+
 // EngineEndedError reports a stream without a length that ended together with its endpoint.
 type EngineEndedError struct{}
 
@@ -73,7 +92,7 @@
 	defer resp.Body.Close()
 	rl.framing = sender.FramingOf(resp)
 	events := splitter.New(resp.Body)
-	before := rl.count
+	before, resumedAfter := rl.count, rl.lastEventID
 	for {
 		event, err := events.Next()
 		rl.rest = events.Rest()
@@ -83,6 +102,9 @@
 		if err != nil {
 			return err
 		}
+		if !isAfter(event.ID, resumedAfter) {
+			return &RepeatedEventError{ID: event.ID, Last: resumedAfter}
+		}
 		if err := rl.write(resp, event); err != nil {
 			return err
 		}
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -285,3 +285,9 @@
 		assert.EqualValues(t, 1, engine.runs.Load(), framing)
 	}
 }
+
+func TestAResumedStreamThatBeginsAnewIsBrokenOff(t *testing.T) {
+	cut := len(streamEvents[0]) + len(streamEvents[1]) + 4
+	got := callStream(t, &rawEngine{framing: byChunks, bytes: cut, isRestarted: true}, true)
+	assert.Equal(t, callerView{status: http.StatusOK, body: streamEvents[0] + streamEvents[1]}, got)
+}
