Reset the connection of HTTP/1.0 callers when a stream is broken off

The connection is reset now, before TLS could end it regularly. TestABrokenStreamEndsWithAResetForCallersOfHTTP10 failed before for chunked and unframed streams and passes; whole ones end as before.

--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -259,3 +260,25 @@
 		assert.Equal(t, http.StatusOK, r.call(i, http.MethodPost, "/submit/", "x").status)
 	}
 }
+
+// Callers of HTTP/1.0 have nothing but the end of the connection to tell them that an answer is complete.
+func TestABrokenStreamEndsWithAResetForCallersOfHTTP10(t *testing.T) {
+	for fault, isWhole := range map[emulator.Fault]bool{emulator.Healthy: true, emulator.Truncate: false, emulator.CutUnframed: false} {
+		r := newRig(t, sizes{hosts: 1, prefill: 1, decode: 1})
+		r.configureAndAwait()
+		r.decode[0].SetFault(fault)
+		conn := r.connect(0)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(awaitTimeout)))
+		_, err := io.WriteString(conn, "POST /brief/x HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: old\r\nDeadline-Ms: 2000\r\nModel: m\r\n"+
+			"Token-Count: 2000,2000\r\nContent-Length: 1\r\n\r\nb")
+		require.NoError(t, err)
+		data, err := io.ReadAll(conn)
+		if isWhole {
+			assert.NoError(t, err)
+			assert.True(t, strings.HasSuffix(string(data), emulator.Events(streamEvents)))
+		} else {
+			assert.ErrorIs(t, err, syscall.ECONNRESET, "%s: %s", fault, data)
+		}
+		r.close()
+	}
+}
--- a/transport/callers/router/router.go
+++ b/transport/callers/router/router.go
@@ -100,6 +100,8 @@
 	version uint64
 	// started is when the request arrived.
 	started time.Time
+	// endsByClose is set if the end of the connection is all that tells the caller that a stream is complete.
+	endsByClose bool
 	// prefillSends counts the sends to prefill engines.
 	prefillSends int
 }
@@ -151,7 +153,7 @@
 
 // accept parses and validates a request. The job is never nil, so that refusals are logged, too.
 func (rt *Router) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*job, *result) {
-	j := &job{Job: sender.Job{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header}, started: now}
+	j := &job{Job: sender.Job{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header}, started: now, endsByClose: !r.ProtoAtLeast(1, 1)}
 	var err error
 	j.request, err = rt.Dialect.Request(r.Header)
 	j.ID = j.request.ID
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -196,9 +198,29 @@
 func (rl *relay) abort(res result) {
 	rl.trace()
 	rl.router.logEnd(rl.j, res)
+	if rl.committed && rl.j.endsByClose {
+		rl.reset()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// reset resets the connection to the caller.
+func (rl *relay) reset() {
+	conn, _, err := rl.control.Hijack()
+	if err != nil {
+		return // only writers without a connection cannot be hijacked, such as in tests
+	}
+	defer conn.Close()
+	plain := conn
+	if t, ok := conn.(*tls.Conn); ok {
+		plain = t.NetConn()
+	}
+	if tcp, ok := plain.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close() // before TLS can say that the answer is complete
+	}
+}
+
 // run opens the stream at e and forwards it. isFinal means that the caller got its final answer and no send may follow.
 func (rl *relay) run(ctx context.Context, e *discoverer.Endpoint, s sender.Send) (isFinal bool, err error) {
 	rt := rl.router
