--- a/lab/loadgenerator/client.go
+++ b/lab/loadgenerator/client.go
@@ -145,7 +145,7 @@
 }
 
 func readFailure(resp *http.Response, begin time.Time) Reply {
-	data, _ := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(resp.Body)
 	var body struct {
 		Error struct {
 			Code    string `json:"code"`
@@ -154,7 +154,7 @@
 	}
 	_ = json.Unmarshal(data, &body)
 	return Reply{
-		Status: resp.StatusCode, Code: body.Error.Code, Outcome: body.Error.Outcome, Body: data, Finish: time.Since(begin),
+		Status: resp.StatusCode, Code: body.Error.Code, Outcome: body.Error.Outcome, Body: data, Finish: time.Since(begin), Err: err,
 	}
 }
 
