--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -68,6 +68,8 @@
 	hasEnded bool
 	// closeDelay is the time between the last byte of the first run and its end.
 	closeDelay time.Duration
+	// resumedBytes is where the second run ends, without a length; 0 stands for its whole rest.
+	resumedBytes int
 	// isRestarted has all runs begin with the first event.
 	isRestarted bool
 
@@ -77,14 +79,19 @@
 }
 
 func (e *rawEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if e.runs.Add(1) > 1 {
-		last := r.Header.Get("Last-Event-Id")
-		e.resumed.Store(last)
-		for i, event := range streamEvents {
-			if e.isRestarted || fmt.Sprint(i+1) > last {
-				_, _ = io.WriteString(w, event)
-			}
+	run := e.runs.Add(1)
+	last := r.Header.Get("Last-Event-Id")
+	rest := ""
+	for i, event := range streamEvents {
+		if e.isRestarted || fmt.Sprint(i+1) > last {
+			rest += event
 		}
+	}
+	if run > 1 {
+		e.resumed.Store(last)
+	}
+	if run > 2 || run == 2 && e.resumedBytes == 0 {
+		_, _ = io.WriteString(w, rest)
 		return
 	}
 	conn, _, err := w.(http.Hijacker).Hijack()
@@ -92,6 +99,10 @@
 		return
 	}
 	defer conn.Close()
+	if run == 2 {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+rest[:e.resumedBytes])
+		return
+	}
 	body := strings.Join(streamEvents, "")
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 	switch e.framing {
@@ -156,12 +167,12 @@
 	isComplete bool
 }
 
-// callStream sends a stream through a router with two endpoints that the engine serves.
+// callStream sends a stream through a router with three endpoints that the engine serves.
 func callStream(t *testing.T, engine *rawEngine, isResumable bool) callerView {
 	clock, logs := clockwork.NewRealClock(), hclog.NewNullLogger()
 	list := discoverer.New(nil, clock, logs)
 	engine.servers = nil
-	for i := range 2 {
+	for i := range 3 {
 		server := httptest.NewServer(engine)
 		defer server.Close()
 		engine.servers = append(engine.servers, server)
@@ -184,7 +195,7 @@
 		defer cancel()
 		rt.stream(ctx, w, &job{
 			Job: sender.Job{
-				ID: "1", Service: "writer", Method: http.MethodPost, Target: "/", Expires: clock.Now().Add(5 * time.Second), MaxAttempts: 2,
+				ID: "1", Service: "writer", Method: http.MethodPost, Target: "/", Expires: clock.Now().Add(5 * time.Second), MaxAttempts: 3,
 			},
 			started: clock.Now(), route: &matcher.Route{Kind: matcher.Stream, Resumable: isResumable},
 		})
@@ -291,3 +302,19 @@
 	got := callStream(t, &rawEngine{framing: byChunks, bytes: cut, isRestarted: true}, true)
 	assert.Equal(t, callerView{status: http.StatusOK, body: streamEvents[0] + streamEvents[1]}, got)
 }
+
+func TestAResumedStreamThatEndsInsideAnEventIsResumedAgain(t *testing.T) {
+	whole := strings.Join(streamEvents, "")
+	first := len(streamEvents[0]) + 5
+	rest := strings.Join(streamEvents[1:], "")
+	for n := 1; n < len(rest); n++ {
+		if got := strings.Join(eventsUpTo(len(streamEvents[0])+n), ""); len(got) == len(streamEvents[0])+n {
+			continue // ends between two events, as a whole stream does
+		}
+		engine := &rawEngine{framing: byClose, bytes: first, resumedBytes: n}
+		got := callStream(t, engine, true)
+		name := fmt.Sprintf("cut after %q", rest[max(0, n-12):n])
+		assert.Equal(t, callerView{status: http.StatusOK, body: whole, isComplete: true}, got, name)
+		assert.EqualValues(t, 3, engine.runs.Load(), name)
+	}
+}
