--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -156,6 +156,7 @@
 }
 
 func (rl *relay) countEvent() {
+	rl.j.HasOutput.Store(true)
 	now := rl.router.Clock.Now()
 	if rl.count == 0 {
 		rl.firstAt = now
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
@@ -174,8 +175,14 @@
 
 // newSendError logs a failed send and returns its error.
 func (s *Sender) newSendError(j *Job, e *discoverer.Endpoint, outcome Outcome, reason string) *SendError {
-	eventlogger.Warn(s.Logs, eventlogger.SendFailed, "request", j.ID, "endpoint", e.ID, "service", e.Service,
-		"stage", e.Stage.String(), "outcome", outcome.String(), "reason", reason, "sends", j.Sends.Load())
+	pairs := []any{
+		"request", j.ID, "endpoint", e.ID, "service", e.Service,
+		"stage", e.Stage.String(), "outcome", outcome.String(), "reason", reason, "sends", j.Sends.Load(),
+	}
+	if len(j.Parts) > 0 {
+		pairs = append(pairs, "parts", strings.Join(j.Parts, ","), "output", j.HasOutput.Load())
+	}
+	eventlogger.Warn(s.Logs, eventlogger.SendFailed, pairs...)
 	return &SendError{Endpoint: e.ID, Outcome: outcome, Reason: reason}
 }
 
--- a/transport/endpoints/sender/sender.go
+++ b/transport/endpoints/sender/sender.go
@@ -81,6 +81,10 @@
 	Hedge time.Duration
 	// Fingerprint is equal for requests that are the same work.
 	Fingerprint uint64
+	// Parts are the IDs of the shared parts of the prompt.
+	Parts []string
+	// HasOutput is set once an event of the answer was received.
+	HasOutput atomic.Bool
 	// Sends counts the sends so far, without those that did not reach their endpoint.
 	Sends atomic.Int32
 	Trace Trace
