--- /dev/null
+++ b/lab/emulator/crash.go
@@ -0,0 +1,130 @@
+package emulator
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// crashDelay is the time from the start of a run to the crash that its prompt causes.
+const crashDelay = 10 * time.Millisecond
+
+// Crashes holds the parts of prompts that crash each engine which begins to write an answer on them, and records what engines
+// saw of them.
+type Crashes struct {
+	mu       sync.Mutex
+	parts    map[string]bool
+	crashes  map[string][]time.Time
+	arrivals map[string][]time.Time
+}
+
+// NewCrashes returns the record of the given parts.
+func NewCrashes(parts ...string) *Crashes {
+	c := &Crashes{parts: make(map[string]bool), crashes: make(map[string][]time.Time), arrivals: make(map[string][]time.Time)}
+	for _, p := range parts {
+		c.parts[p] = true
+	}
+	return c
+}
+
+// part returns the part of a request's prompt that crashes engines, empty if there is none. The last one never does.
+func (c *Crashes) part(r *http.Request) string {
+	entries := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
+	for _, entry := range entries[:len(entries)-1] {
+		if id, _, _ := strings.Cut(entry, ":"); c.parts[id] {
+			return id
+		}
+	}
+	return ""
+}
+
+// recordArrival counts a request at an engine of either stage, refused ones included.
+func (c *Crashes) recordArrival(r *http.Request) {
+	if c == nil {
+		return
+	}
+	if part := c.part(r); part != "" {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.arrivals[part] = append(c.arrivals[part], time.Now())
+	}
+}
+
+// crashing returns the part of a prompt that crashes an engine which runs it.
+func (c *Crashes) crashing(r *http.Request) string {
+	if c == nil {
+		return ""
+	}
+	return c.part(r)
+}
+
+func (c *Crashes) recordCrash(part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes[part] = append(c.crashes[part], time.Now())
+}
+
+// Ended returns the times at which engines ended under requests with a part.
+func (c *Crashes) Ended(part string) []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.crashes[part])
+}
+
+// ArrivalsAfter returns how many requests with a part reached engines after a time.
+func (c *Crashes) ArrivalsAfter(part string, after time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, at := range c.arrivals[part] {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
+// dropConnections stops the listener and drops all connections.
+func (e *Endpoint) dropConnections() {
+	server := e.server.Load()
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
+// crashAndRestart ends the engine. It starts again later with another ID and address, and knows nothing of before.
+func (e *Endpoint) crashAndRestart(part string) {
+	time.Sleep(crashDelay)
+	e.mu.Lock()
+	id, start := e.id, e.starts
+	isFirst := e.crashed != start+1
+	e.crashed = start + 1
+	e.mu.Unlock()
+	if isFirst {
+		e.cfg.Crashes.recordCrash(part)
+		e.dropConnections()
+		time.AfterFunc(e.cfg.EntryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
+		time.AfterFunc(e.cfg.RestartDelay, e.startAgain)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// startAgain begins a new incarnation with another ID and address.
+func (e *Endpoint) startAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isClosed {
+		return
+	}
+	e.starts++
+	e.id = fmt.Sprintf("%s-%d", e.cfg.ID, e.starts)
+	e.sequence, e.orderCount, e.fence = 0, 0, 0
+	e.incarnationStart = time.Now().UnixMilli()
+	clear(e.active)
+	clear(e.holds)
+	clear(e.handles)
+	e.listen()
+	e.announce()
+}
--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -71,6 +72,12 @@
 	WorkTime time.Duration
 	// StageSwitchTime is how long an engine takes to change its stage; it refuses requests meanwhile.
 	StageSwitchTime time.Duration
+	// Crashes holds the parts of prompts that crash engines, and counts what they do; nil if there are none.
+	Crashes *Crashes
+	// RestartDelay is the time from a crash by a part of a prompt to the engine's next start, EntryLifetime that to the removal of
+	// its entry.
+	RestartDelay  time.Duration
+	EntryLifetime time.Duration
 }
 
 // Run is a request as an endpoint received and ran it.
@@ -87,9 +94,10 @@
 
 // Endpoint serves as a model engine if its Config has a Stage, otherwise as a plain service.
 type Endpoint struct {
-	cfg              Config
-	store            *Store
-	server           *httptest.Server
+	cfg   Config
+	store *Store
+	// server is replaced when the endpoint starts again after a crash.
+	server           atomic.Pointer[httptest.Server]
 	mu               sync.Mutex
 	stage            string
 	state            string
@@ -115,14 +123,27 @@
 	// arrivals counts all HTTP requests, control calls included.
 	arrivals int
 	limits   limitRecord
+	// id is the ID of the present start, isClosed is set once the endpoint must not start again.
+	id string
+	// starts counts the starts after crashes; crashed is one more for the start that has crashed, 0 if none has.
+	starts   int
+	crashed  int
+	isClosed bool
 }
 
 // Start starts an endpoint on a free loopback port and writes its entry to the store. The caller must close it.
 func Start(store *Store, cfg Config) *Endpoint {
 	e := &Endpoint{
-		cfg: cfg, store: store, stage: cfg.Stage, state: "ready", incarnationStart: time.Now().UnixMilli(),
+		cfg: cfg, store: store, id: cfg.ID, stage: cfg.Stage, state: "ready", incarnationStart: time.Now().UnixMilli(),
 		active: make(map[string]int), holds: make(map[string]int), handles: make(map[string]string),
 	}
+	e.listen()
+	e.Announce()
+	return e
+}
+
+// listen starts the endpoint's server on a free port.
+func (e *Endpoint) listen() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/hold-take", e.takeHold)
 	mux.HandleFunc("DELETE /api/hold-drop/{id}", e.dropHold)
@@ -130,23 +151,24 @@
 	mux.HandleFunc("GET /api/report", e.report)
 	mux.HandleFunc("POST /api/order", e.order)
 	mux.HandleFunc("/", e.serve)
-	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	e.server.Store(httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !e.rejectIfPaused(w) {
 			mux.ServeHTTP(w, r)
 		}
-	}))
+	})))
 	endpointsByAddress.Store(e.Address().String(), e)
-	e.Announce()
-	return e
 }
 
 // Address returns the loopback address that the endpoint listens on.
-func (e *Endpoint) Address() netip.AddrPort { return address(e.server) }
+func (e *Endpoint) Address() netip.AddrPort { return address(e.server.Load()) }
 
 // Close stops the endpoint abruptly: its entry stays in the store, as after a crash.
 func (e *Endpoint) Close() {
-	e.server.CloseClientConnections()
-	e.server.Close()
+	e.mu.Lock()
+	e.isClosed = true
+	e.mu.Unlock()
+	e.server.Load().CloseClientConnections()
+	e.server.Load().Close()
 }
 
 // Announce writes the endpoint's entry to the store, with the next sequence number.
@@ -165,7 +187,7 @@
 	if e.stage != "" {
 		entry["stage"] = e.stage
 	}
-	e.store.PutJSON("keyed.servers", e.cfg.ID, entry)
+	e.store.PutJSON("keyed.servers", e.id, entry)
 }
 
 // Drain writes an entry in the draining state.
@@ -201,7 +223,11 @@
 }
 
 // RemoveEntry deletes the endpoint's entry from the store while the endpoint keeps running.
-func (e *Endpoint) RemoveEntry() { e.store.Put("keyed.servers", e.cfg.ID, nil) }
+func (e *Endpoint) RemoveEntry() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.store.Put("keyed.servers", e.id, nil)
+}
 
 // SetFault injects a failure into all later requests; Healthy ends that.
 func (e *Endpoint) SetFault(f Fault) {
@@ -257,7 +283,7 @@
 // refuse answers with headers which state that the request was not run.
 func (e *Endpoint) refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Not-Executed", "1")
-	w.Header().Set("Instance-Id", e.cfg.ID)
+	w.Header().Set("Instance-Id", e.id)
 	w.WriteHeader(status)
 }
 
@@ -274,9 +300,10 @@
 	e.mu.Lock()
 	e.requestCount++
 	e.recordArrival(w, r.Header.Get("Request-Id"))
-	fault, stage, switching := e.fault, e.stage, e.switching
+	fault, stage, switching, self := e.fault, e.stage, e.switching, e.id
 	e.mu.Unlock()
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.cfg.ID {
+	e.cfg.Crashes.recordArrival(r)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != self {
 		e.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
@@ -300,6 +327,10 @@
 		e.crash(r.Header.Get("Request-Id"), string(body))
 		return
 	}
+	if part := e.cfg.Crashes.crashing(r); part != "" {
+		e.crashAndRestart(part)
+		return
+	}
 	e.run(w, r, string(body), fault)
 }
 
@@ -325,8 +356,7 @@
 	e.mu.Lock()
 	e.runs = append(e.runs, Run{ID: id, Body: body})
 	e.mu.Unlock()
-	_ = e.server.Listener.Close()
-	e.server.CloseClientConnections()
+	e.dropConnections()
 	panic(http.ErrAbortHandler)
 }
 
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -47,6 +47,8 @@
 // fleetSize is the number of hosts and endpoints of a fleet.
 type fleetSize struct {
 	hosts, prefill, decode, plain int
+	// crashes are the parts of prompts that crash engines, nil if there are none.
+	crashes *emulator.Crashes
 }
 
 func startFleet(t *testing.T, n fleetSize) *fleet {
@@ -54,6 +56,7 @@
 	t.Cleanup(f.stop)
 	engine := emulator.Config{
 		Service: "writer", Slots: 16, MemoryTokens: 200_000, Events: engineEvents, EventInterval: 5 * time.Millisecond, StageSwitchTime: 200 * time.Millisecond,
+		Crashes: n.crashes, RestartDelay: 1500 * time.Millisecond, EntryLifetime: time.Second,
 	}
 	add := func(list *[]*emulator.Endpoint, n int, c emulator.Config, name, stage string) {
 		for i := range n {
@@ -163,52 +166,55 @@
 	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
 }
 
+// reply is what a caller got for one request. Status is 0 if there was no complete answer.
+type reply struct {
+	sentAt time.Time
+	took   time.Duration
+	status int
+	body   string
+}
+
 // load sends requests to random hosts at a steady rate and waits for all answers.
 func (f *fleet) load(d time.Duration, perSecond int, path string) counts {
 	var c counts
-	f.sendSteadily(d, perSecond, path, func(status int, _ string, took time.Duration) {
+	for _, r := range f.send(d, perSecond, path, equalPrompts) {
 		c.sent++
-		switch status {
+		switch r.status {
 		case http.StatusOK:
 			c.served++
 		case http.StatusServiceUnavailable:
 			c.refused++
-			c.refusalTimes = append(c.refusalTimes, took)
+			c.refusalTimes = append(c.refusalTimes, r.took)
 		default:
 			c.failed++
 		}
-	})
+	}
 	return c
 }
 
-// collect sends requests like load and returns the bodies of the successful answers that were complete for their callers.
-func (f *fleet) collect(d time.Duration, perSecond int, path string) []string {
-	var bodies []string
-	f.sendSteadily(d, perSecond, path, func(status int, body string, _ time.Duration) {
-		if status == http.StatusOK {
-			bodies = append(bodies, body)
-		}
-	})
-	return bodies
-}
+// equalPrompts is the prefix of prompts that differ in nothing.
+func equalPrompts(int) string { return "ab:200,cd:1800" }
 
-// sendSteadily sends requests to random hosts at a steady rate and calls handle with each answer, one at a time.
-func (f *fleet) sendSteadily(d time.Duration, perSecond int, path string, handle func(status int, body string, took time.Duration)) {
+// send sends requests to random hosts at a steady rate and returns all replies. prefix returns the parts of the n-th prompt.
+func (f *fleet) send(d time.Duration, perSecond int, path string, prefix func(n int) string) []reply {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
+	var replies []reply
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
+	n := 0
 	for end := time.Now().Add(d); time.Now().Before(end); <-ticker.C {
-		host := f.pickHost()
+		host, parts := f.pickHost(), prefix(n)
+		n++
 		wait.Go(func() {
-			began := time.Now()
-			status, body := f.request(host, path)
+			r := f.request(host, path, parts)
 			mu.Lock()
 			defer mu.Unlock()
-			handle(status, body, time.Since(began))
+			replies = append(replies, r)
 		})
 	}
 	wait.Wait()
+	return replies
 }
 
 func (f *fleet) pickHost() int {
@@ -217,28 +223,30 @@
 	return f.random.IntN(len(f.hosts))
 }
 
-// request sends one request and returns the status and the body of its complete answer, 0 if there is none.
-func (f *fleet) request(host int, path string) (status int, body string) {
+// request sends one request.
+func (f *fleet) request(host int, path, prefix string) reply {
 	id := fmt.Sprintf("%s/%d", f.hosts[host].Name, f.lastID.Add(1))
-	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s", f.hosts[host].Address, path), strings.NewReader(id))
+	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s", f.hosts[host].Address, path), strings.NewReader(id))
 	require.NoError(f.t, err)
-	r.Host = "shop.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "2500")
+	q.Host = "shop.example"
+	q.Header.Set("Request-Id", id)
+	q.Header.Set("Deadline-Ms", "2500")
 	if strings.HasPrefix(path, "/brief") || strings.HasPrefix(path, "/scope") {
-		r.Header.Set("Model", "m")
-		r.Header.Set("Token-Count", "2000,2000")
-		r.Header.Set("Length-Hint", "300")
-		r.Header.Set("Prompt-Prefix", "ab:200,cd:1800")
+		q.Header.Set("Model", "m")
+		q.Header.Set("Token-Count", "2000,2000")
+		q.Header.Set("Length-Hint", "300")
+		q.Header.Set("Prompt-Prefix", prefix)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	r := reply{sentAt: time.Now()}
+	resp, err := http.DefaultClient.Do(q)
 	if err != nil {
-		return 0, ""
+		return r
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
+	if err == nil {
+		r.status, r.body = resp.StatusCode, string(data)
 	}
-	return resp.StatusCode, string(data)
+	r.took = time.Since(r.sentAt)
+	return r
 }
--- a/scenarios/order_test.go
+++ b/scenarios/order_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -18,15 +19,16 @@
 	f.decode[0].SetFault(emulator.CutUnframed)
 	f.decode[1].SetFault(emulator.Unframed)
 	for _, path := range []string{"/brief/1", "/scope/1"} {
-		bodies := f.collect(4*time.Second, 20, path)
 		whole, partial := 0, 0
-		for _, b := range bodies {
-			if b == emulator.Events(engineEvents) {
+		for _, r := range f.send(4*time.Second, 20, path, equalPrompts) {
+			switch {
+			case r.status != http.StatusOK:
+			case r.body == emulator.Events(engineEvents):
 				whole++
-				continue
+			default:
+				partial++
+				assert.Fail(t, "a partial answer is complete", "%s: it ends with %q", path, r.body[max(0, len(r.body)-40):])
 			}
-			partial++
-			assert.Fail(t, "a partial answer is complete", "%s: it ends with %q", path, b[max(0, len(b)-40):])
 		}
 		t.Logf("%s: %d answers complete for their callers, %d of them partial", path, whole+partial, partial)
 		assert.Positive(t, whole)
