Find the parts of prompts that crash engines, and stop requests with them on all hosts

Cause: evidence was kept by the whole request (method, host, target, body). Requests that share a part of their prompts but are not alike never met again, so each crash was the first of its request. Class: evidence kept by a key that is finer than the cause; and merged in a way that loses it: a host took the higher of its own count and another host's, so crashes that two hosts saw did not add up.

The quarantine keeps the ends of engines by incarnation, as sets that all hosts merge, with the requests and the shared parts of prompts (never the last one) on which that engine may have begun to write. A prefill reads a prompt and writes nothing, so it blames no part. Output on a part acquits it, also where the request breaks off later, and lifts a verdict. An end counts against a part once two hosts have found the engine ended: a host that alone lost its engines convicts nothing. Three ends at different moments, or five at once, convict; the most specific cause first, and what it explains is not held against the others. From the verdict on requests with it get a 503 on every host: at the door, while they wait for a place, and before each send, prefill and decode alike. Hosts with evidence compare it each second with two others, so those that were cut off, frozen or started later learn it.

Tests of the isolator, the sender and the generator use the new calls with the same expectations; the quarantine's count tests are replaced by ones of the same bounds over sets.

--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -1,67 +1,384 @@
-// Package quarantiner identifies requests that crash the engines that run them.
+// Package quarantiner finds out what crashes engines: a whole request, or a part that the prompts of many requests share.
 //
-// Every request running on an engine when it crashes becomes a suspect. A suspect that completes is cleared; a suspect
-// that was running during as many crashes as the limit allows is convicted and must not run again.
+// Hosts report the ends of engines, with the requests that were running there, and merge what all of them have seen. A
+// cause is convicted by the ends of several incarnations of engines and must not run again. Output on a part acquits it.
+// The verdict depends on the merged evidence only, so that hosts with the same evidence agree.
+//
+// It is designed for requests that share one part and end each engine which begins to write an answer on it, at any host and at
+// any rate, while sound requests share their other parts and run on the same engines, and engines end for other reasons.
 package quarantiner
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Kind is the kind of a cause.
+type Kind int
+
+// The kinds of causes.
+const (
+	// Request is a whole request: its method, host, target and body.
+	Request Kind = iota
+	// Part is a part that the prompts of several requests share.
+	Part
+)
+
+func (k Kind) String() string { return [...]string{"request", "part"}[k] }
+
+// Cause is what may have crashed an engine.
+type Cause struct {
+	Kind Kind
+	ID   uint64
+}
+
+// Engine is one incarnation of an engine.
+type Engine struct {
+	ID    string
+	Start int64
+}
+
+// Blame names a cause that an end of an engine may have. Depth is the position of a part in its prompt, from 0.
+type Blame struct {
+	Cause
+	Depth int
+}
+
+// End is what hosts have seen of the end of an engine.
+type End struct {
+	Engine Engine
+	At     time.Time
+	// Expires is when the end is discarded.
+	Expires time.Time
+	// Witnesses are the hosts that found the engine ended, Deniers those that reached it nevertheless.
+	Witnesses []string
+	Deniers   []string
+	// Blames are the requests that were running on the engine, and the parts on which it had not written anything.
+	Blames []Blame
+}
 
-// Suspect is the crash count of the requests with one fingerprint.
-type Suspect struct {
-	Fingerprint uint64
-	Crashes     int
-	LastCrash   time.Time
+// Acquittal tells that an engine has written output on a part.
+type Acquittal struct {
+	Cause Cause
+	At    time.Time
 }
 
-// Quarantine counts engine crashes per request fingerprint. It is not safe for concurrent use.
+// Evidence is what one host tells another.
+type Evidence struct {
+	Ends       []End
+	Acquittals []Acquittal
+}
+
+// record is an end as it is kept, with the depth of each cause.
+type record struct {
+	End
+	blames map[Cause]int
+}
+
+// Config holds the limits of a Quarantine.
+type Config struct {
+	// RequestLimit is the number of ends that convict a request, PartLimit that for a part.
+	RequestLimit int
+	PartLimit    int
+	// BurstLimit is the number of ends that convict a part although all of them came within BurstTime, in which a single
+	// cause beyond the requests may end several engines.
+	BurstLimit int
+	BurstTime  time.Duration
+	// Retention is how long an end counts, and how long a verdict lasts after the last request that it stopped.
+	Retention time.Duration
+	// AcquittalTime is how long output on a part protects it from being blamed for later ends.
+	AcquittalTime time.Duration
+}
+
+const (
+	// maxEnds bounds the ends that are kept; the oldest are discarded first.
+	maxEnds = 64
+	// maxBlames bounds the causes that one end is blamed on.
+	maxBlames = 128
+	// maxWitnesses bounds the hosts that are kept for one end.
+	maxWitnesses = 8
+	// minWitnesses is the number of hosts that must have seen an end, unless there are fewer.
+	minWitnesses = 2
+	// maxFormer bounds the causes of former verdicts that are kept.
+	maxFormer = 1024
+	// formerLimit is the number of ends that convict a part which was convicted before.
+	formerLimit = 1
+)
+
+// Quarantine holds the evidence of one host. It is not safe for concurrent use.
 type Quarantine struct {
-	retention  time.Duration
-	crashLimit int
-	suspects   map[uint64]Suspect
+	cfg        Config
+	hosts      int
+	answerTime time.Duration
+	ends       map[Engine]*record
+	acquitted  acquittals
+	// verdicts holds the time from which on a cause is convicted.
+	verdicts map[Cause]time.Time
+	// former holds the causes whose verdicts have ended.
+	former map[Cause]bool
+}
+
+// New returns an empty Quarantine.
+func New(cfg Config) *Quarantine {
+	return &Quarantine{
+		cfg: cfg, hosts: 1, ends: make(map[Engine]*record), acquitted: newAcquittals(cfg.AcquittalTime, cfg.Retention+cfg.AcquittalTime),
+		verdicts: make(map[Cause]time.Time), former: make(map[Cause]bool),
+	}
+}
+
+// SetHosts sets the number of hosts, and how long they may take to acquit a part before it is convicted. Two of them must have
+// seen the end of an engine before it counts against a part, so that a host which alone has lost its contact to engines
+// convicts nothing.
+func (q *Quarantine) SetHosts(n int, answerTime time.Duration) { q.hosts, q.answerTime = n, answerTime }
+
+// IsEmpty reports whether there is no evidence.
+func (q *Quarantine) IsEmpty() bool { return len(q.ends) == 0 }
+
+// Observe merges an end that this host or another one has seen. It returns false if nothing of it was new.
+func (q *Quarantine) Observe(now time.Time, e End) bool {
+	return q.Merge(now, Evidence{Ends: []End{e}})
+}
+
+// observe merges an end without judging it.
+func (q *Quarantine) observe(now time.Time, e End) bool {
+	known := q.ends[e.Engine]
+	if known == nil {
+		known = &record{End: End{Engine: e.Engine, At: e.At, Expires: now.Add(q.cfg.Retention)}, blames: make(map[Cause]int)}
+		if !e.Expires.IsZero() {
+			known.Expires = e.Expires
+		}
+		q.ends[e.Engine] = known
+		q.evictOldest()
+	}
+	if e.Expires.After(known.Expires) {
+		known.Expires = e.Expires
+	}
+	isNew := union(&known.Witnesses, e.Witnesses, maxWitnesses)
+	isNew = union(&known.Deniers, e.Deniers, maxWitnesses) || isNew
+	isNew = known.blame(e.Blames) || isNew
+	for _, b := range e.Blames {
+		if at, ok := q.acquitted.own(b.Cause); ok && q.protects(at, known.At) {
+			q.acquitted.contest(now, b.Cause, at)
+		}
+	}
+	return isNew
+}
+
+// blame adds causes to an end. It returns false if all of them are known.
+func (r *record) blame(list []Blame) bool {
+	isNew := false
+	for _, b := range list {
+		depth, ok := r.blames[b.Cause]
+		if (!ok && len(r.blames) < maxBlames) || (ok && b.Depth > depth) {
+			r.blames[b.Cause] = b.Depth
+			isNew = true
+		}
+	}
+	return isNew
+}
+
+// union adds the new elements of b to a, up to a length of limit.
+func union[T comparable](a *[]T, b []T, limit int) bool {
+	isNew := false
+	for _, v := range b {
+		if len(*a) < limit && !slices.Contains(*a, v) {
+			*a = append(*a, v)
+			isNew = true
+		}
+	}
+	return isNew
+}
+
+// Merge merges the evidence of another host. It returns false if nothing of it was new.
+func (q *Quarantine) Merge(now time.Time, e Evidence) bool {
+	q.expire(now)
+	isNew := false
+	for _, a := range e.Acquittals {
+		isNew = q.acquitted.contest(now, a.Cause, a.At) || isNew
+	}
+	for _, end := range e.Ends {
+		isNew = q.observe(now, end) || isNew
+	}
+	if isNew {
+		q.judge(now)
+	}
+	return isNew
 }
 
-// New returns an empty Quarantine. A request is convicted at crashLimit crashes and its count is discarded when its last
-// crash is longer ago than retention.
-func New(retention time.Duration, crashLimit int) *Quarantine {
-	return &Quarantine{retention: retention, crashLimit: crashLimit, suspects: make(map[uint64]Suspect)}
+// RecordOutput acquits the parts of a prompt on which an engine has written output. It returns those that are blamed for an end,
+// of which other hosts should know.
+func (q *Quarantine) RecordOutput(now time.Time, parts ...Cause) []Acquittal {
+	var contested []Acquittal
+	for _, c := range parts {
+		q.acquitted.addOwn(now, c)
+		if len(q.ends) > 0 && q.isCharged(c) && q.acquitted.contest(now, c, now) {
+			contested = append(contested, Acquittal{Cause: c, At: now})
+		}
+	}
+	if len(contested) > 0 {
+		q.judge(now)
+	}
+	return contested
 }
 
-// RecordCrash counts an engine crash against a request that was running on it, and returns the new count.
-func (q *Quarantine) RecordCrash(now time.Time, fingerprint uint64) Suspect {
-	q.evictExpired(now)
-	s := q.suspects[fingerprint]
-	s = Suspect{Fingerprint: fingerprint, Crashes: s.Crashes + 1, LastCrash: now}
-	q.suspects[fingerprint] = s
-	return s
+// RecordCompletion discards the evidence against a request that has completed, unless it is convicted.
+func (q *Quarantine) RecordCompletion(now time.Time, c Cause) {
+	if len(q.ends) == 0 || q.IsConvicted(now, c) {
+		return
+	}
+	for _, e := range q.ends {
+		delete(e.blames, c)
+	}
 }
 
-// MergeCount adopts the count of another host if it is higher than the local one.
-func (q *Quarantine) MergeCount(now time.Time, fingerprint uint64, crashes int) {
-	q.evictExpired(now)
-	if s := q.suspects[fingerprint]; crashes > s.Crashes {
-		q.suspects[fingerprint] = Suspect{Fingerprint: fingerprint, Crashes: crashes, LastCrash: now}
+// isCharged reports whether an end counts against a part, or would if another host had seen it, too.
+func (q *Quarantine) isCharged(c Cause) bool {
+	at, ok := q.acquitted.contested[c]
+	for _, e := range q.ends {
+		if e.isBlamedOn(c) && (!ok || !q.protects(at, e.At)) {
+			return true
+		}
 	}
+	return false
+}
+
+func (r *record) isBlamedOn(c Cause) bool {
+	_, ok := r.blames[c]
+	return ok
 }
 
-// RecordCompletion clears the request unless it is convicted.
-func (q *Quarantine) RecordCompletion(fingerprint uint64) {
-	if q.suspects[fingerprint].Crashes < q.crashLimit {
-		delete(q.suspects, fingerprint)
+// OwnAcquittals returns what this host itself knows in favour of the parts that the end of an engine is blamed on.
+func (q *Quarantine) OwnAcquittals(e End) []Acquittal {
+	var list []Acquittal
+	for _, b := range e.Blames {
+		if at, ok := q.acquitted.own(b.Cause); ok && q.protects(at, e.At) {
+			list = append(list, Acquittal{Cause: b.Cause, At: at})
+		}
 	}
+	return list
 }
 
-// IsSuspect reports whether an engine crashed while the request was running on it.
-func (q *Quarantine) IsSuspect(fingerprint uint64) bool { return q.suspects[fingerprint].Crashes > 0 }
+// Unacquitted returns the causes of an end without those that are known not to be its cause.
+func (q *Quarantine) Unacquitted(e End) []Blame {
+	var list []Blame
+	for _, b := range e.Blames {
+		if at, ok := q.acquitted.contested[b.Cause]; !ok || !q.protects(at, e.At) {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// protects reports whether output on a part at a time rules it out as the cause of an end.
+func (q *Quarantine) protects(output, end time.Time) bool {
+	return output.After(end.Add(-q.cfg.AcquittalTime))
+}
 
-// IsConvicted reports whether the request reached the crash limit.
-func (q *Quarantine) IsConvicted(fingerprint uint64) bool {
-	return q.suspects[fingerprint].Crashes >= q.crashLimit
+// IsSuspect reports whether an engine ended while a request with the cause was running on it.
+func (q *Quarantine) IsSuspect(c Cause) bool {
+	if len(q.ends) == 0 {
+		return false
+	}
+	for _, e := range q.ends {
+		if q.counts(e, c) {
+			return true
+		}
+	}
+	return false
 }
 
-func (q *Quarantine) evictExpired(now time.Time) {
-	for f, s := range q.suspects {
-		if now.Sub(s.LastCrash) > q.retention {
-			delete(q.suspects, f)
+// Crashes returns the number of ends that count against a cause.
+func (q *Quarantine) Crashes(c Cause) int {
+	n := 0
+	for _, e := range q.ends {
+		if q.counts(e, c) {
+			n++
+		}
+	}
+	return n
+}
+
+// Blamed returns the number of ends that a cause is blamed for, acquitted or not.
+func (q *Quarantine) Blamed(c Cause) int {
+	n := 0
+	for _, e := range q.ends {
+		if e.isBlamedOn(c) {
+			n++
+		}
+	}
+	return n
+}
+
+// IsConvicted reports whether requests with one of the causes must not run. Verdicts last for as long as such requests come.
+func (q *Quarantine) IsConvicted(now time.Time, causes ...Cause) bool {
+	if len(q.ends) == 0 {
+		return false
+	}
+	q.expire(now)
+	isConvicted := false
+	for _, c := range causes {
+		from, ok := q.verdicts[c]
+		if !ok || now.Before(from) {
+			continue
+		}
+		isConvicted = true
+		for _, e := range q.ends {
+			if e.isBlamedOn(c) {
+				e.Expires = now.Add(q.cfg.Retention)
+			}
+		}
+	}
+	return isConvicted
+}
+
+// Verdicts returns the causes that are convicted.
+func (q *Quarantine) Verdicts(now time.Time) []Cause {
+	var list []Cause
+	for c, from := range q.verdicts {
+		if !now.Before(from) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// Evidence returns what another host should know: the ends, without the parts that were acquitted, and these acquittals.
+func (q *Quarantine) Evidence(now time.Time) Evidence {
+	q.expire(now)
+	var ev Evidence
+	for _, e := range q.ends {
+		sent := e.End
+		for c, depth := range e.blames {
+			sent.Blames = append(sent.Blames, Blame{Cause: c, Depth: depth})
+		}
+		sent.Blames = q.Unacquitted(sent)
+		if len(sent.Blames) > 0 {
+			ev.Ends = append(ev.Ends, sent)
+		}
+	}
+	ev.Acquittals = q.acquitted.told(now)
+	return ev
+}
+
+// expire discards the ends whose time has passed.
+func (q *Quarantine) expire(now time.Time) {
+	n := len(q.ends)
+	maps.DeleteFunc(q.ends, func(_ Engine, e *record) bool { return now.After(e.Expires) })
+	if len(q.ends) < n {
+		q.judge(now)
+	}
+}
+
+func (q *Quarantine) evictOldest() {
+	if len(q.ends) <= maxEnds {
+		return
+	}
+	var oldest *record
+	for _, e := range q.ends {
+		if oldest == nil || e.Expires.Before(oldest.Expires) {
+			oldest = e
 		}
 	}
+	delete(q.ends, oldest.Engine)
 }
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -144,6 +144,28 @@
 	Verdict uint8 `json:"verdict"`
 }
 
+// CrashCause is a request, or a part of prompts, that may have crashed an engine.
+// Depth is the position of a part in its prompt.
+type CrashCause struct {
+	// Depth corresponds to the JSON schema field "depth".
+	Depth int `json:"depth"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind int `json:"kind"`
+
+	// Fingerprint corresponds to the JSON schema field "print".
+	Fingerprint uint64 `json:"print"`
+}
+
+// CrashEvidence is what a host knows of requests that crash engines.
+type CrashEvidence struct {
+	// Acquittals corresponds to the JSON schema field "acquittals".
+	Acquittals []PartAcquittal `json:"acquittals"`
+
+	// Ends corresponds to the JSON schema field "ends".
+	Ends []EngineEnd `json:"ends"`
+}
+
 // Decision is the outcome of a publication. Time is in nanoseconds since 1970.
 type Decision struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -203,6 +225,34 @@
 	Sent int `json:"sent"`
 }
 
+// EngineEnd is the end of one incarnation of an engine. Times are in milliseconds
+// from now.
+type EngineEnd struct {
+	// Address is that of the engine in the first report of its end, and empty later.
+	Address string `json:"address"`
+
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Causes corresponds to the JSON schema field "causes".
+	Causes []CrashCause `json:"causes"`
+
+	// Deniers lists hosts that reached the engine after it was found ended.
+	Deniers []string `json:"denied"`
+
+	// Engine corresponds to the JSON schema field "engine".
+	Engine string `json:"engine"`
+
+	// Left corresponds to the JSON schema field "left".
+	Left int `json:"left"`
+
+	// Witnesses lists hosts that found the engine ended.
+	Witnesses []string `json:"seen"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start int64 `json:"start"`
+}
+
 // Envelope carries one message between hosts. Call 0 expects no answer. An answer
 // has the call number of its request and kind "answer".
 type Envelope struct {
@@ -219,6 +269,22 @@
 	Kind string `json:"kind"`
 }
 
+// EvidenceRequest asks for the evidence of a host unless its digest is the same.
+type EvidenceRequest struct {
+	// Digest corresponds to the JSON schema field "digest".
+	Digest uint64 `json:"digest"`
+}
+
+// EvidenceResponse holds the evidence of a host, empty if the digests are the
+// same.
+type EvidenceResponse struct {
+	// Evidence corresponds to the JSON schema field "evidence".
+	Evidence CrashEvidence `json:"evidence"`
+
+	// IsSame corresponds to the JSON schema field "same".
+	IsSame bool `json:"same"`
+}
+
 // Gossip is a ping or its answer, with membership updates.
 type Gossip struct {
 	// Answer corresponds to the JSON schema field "answer".
@@ -452,6 +518,16 @@
 	NotExecuted bool `json:"unsent"`
 }
 
+// PartAcquittal tells that an engine has written output on a part of prompts, Age
+// milliseconds ago.
+type PartAcquittal struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Fingerprint corresponds to the JSON schema field "print".
+	Fingerprint uint64 `json:"print"`
+}
+
 // PermitRequest requests a permit for one request to one of several endpoints from
 // the owner of their service.
 type PermitRequest struct {
@@ -769,12 +845,3 @@
 	// Type corresponds to the JSON schema field "type".
 	Type string `json:"type"`
 }
-
-// SuspectReport reports a request that was running on engines when they crashed.
-type SuspectReport struct {
-	// Crashes corresponds to the JSON schema field "deaths".
-	Crashes int `json:"deaths"`
-
-	// Fingerprint corresponds to the JSON schema field "print".
-	Fingerprint uint64 `json:"print"`
-}
--- a/transport/callers/router/call.go
+++ b/transport/callers/router/call.go
@@ -38,7 +38,16 @@
 	if failed.Outcome == sender.Unknown {
 		return unknownOutcome(ctx, failed.Reason)
 	}
-	return result{status: http.StatusServiceUnavailable, reason: failed.Reason, retryAfter: max(minRetryAfter, failed.RetryAfter)}
+	return refusal(failed)
+}
+
+// refusal is the result of a request that has not run.
+func refusal(failed *sender.SendError) result {
+	wait := max(minRetryAfter, failed.RetryAfter)
+	if failed.IsConvicted {
+		wait = convictedRetryAfter
+	}
+	return result{status: http.StatusServiceUnavailable, reason: failed.Reason, retryAfter: wait}
 }
 
 // unknownOutcome is the result of a request that may have run.
--- a/transport/callers/router/dialect.go
+++ b/transport/callers/router/dialect.go
@@ -18,7 +18,7 @@
 	// Hint is the caller's estimate of the output; 0 if there is none.
 	Hint int
 	// Parts are the IDs of the prompt's parts in their order. Requests share parts; the last one is the request's or its session's.
-	Parts []string
+	Parts []uint64
 }
 
 // Request is the part of a caller's request that its headers carry.
--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/dispatcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
 )
 
 const (
@@ -41,7 +42,12 @@
 	rl := rt.newRelay(w, j)
 	failed := &sender.SendError{Outcome: sender.NotSent, Reason: "no engine has room"}
 	for range maxPlacements {
-		p, err := rt.Dispatcher.Place(ctx, rl.placementRequest())
+		p, err := rt.place(ctx, rl)
+		var convicted *isolator.ConvictedError
+		if errors.As(err, &convicted) {
+			failed = &sender.SendError{Outcome: sender.NotSent, IsConvicted: true, Reason: sender.ConvictedReason}
+			break
+		}
 		var refused *dispatcher.RefusedError
 		if errors.As(err, &refused) {
 			rl.respond(ctx, result{status: http.StatusServiceUnavailable, reason: refused.Reason, retryAfter: refused.RetryAfter})
@@ -65,6 +71,18 @@
 	rl.respondFailed(ctx, failed)
 }
 
+// place waits for a placement. The error is an *isolator.ConvictedError if the request is convicted meanwhile.
+func (rt *Router) place(ctx context.Context, rl *relay) (dispatcher.Placement, error) {
+	guarded, release := rt.Sender.Isolator.Guard(ctx, rl.j.Work())
+	defer release()
+	p, err := rt.Dispatcher.Place(guarded, rl.placementRequest())
+	var convicted *isolator.ConvictedError
+	if err != nil && errors.As(context.Cause(guarded), &convicted) {
+		return p, convicted
+	}
+	return p, err
+}
+
 // placementRequest describes the remaining work of a stream to the dispatcher.
 func (rl *relay) placementRequest() dispatcher.Request {
 	rt, j := rl.router, rl.j
@@ -136,9 +154,11 @@
 	if !errors.As(err, &failed) || ctx.Err() != nil {
 		return isFinal, err
 	}
-	if failed.IsRefused() {
+	switch {
+	case failed.IsConvicted: // says nothing about the engine
+	case failed.IsRefused():
 		rt.report(j, dispatcher.Progress{Step: dispatcher.HoldRefused, Engine: p.DecodeEngine.ID})
-	} else {
+	default:
 		rt.report(j, dispatcher.Progress{Step: dispatcher.Unreachable, Engine: p.DecodeEngine.ID})
 	}
 	if failed.Outcome != sender.Unknown {
@@ -257,6 +277,10 @@
 		if err == nil {
 			return src, nil
 		}
+		var failed *sender.SendError
+		if errors.As(err, &failed) && failed.IsConvicted {
+			return nil, failed
+		}
 		j.Trace.Step("prefill failed at %s: %s", e.ID, err)
 		rt.reportPrefillFailure(j, e, err)
 		e = rt.pickPrefillEngine(j, tried)
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -156,7 +156,9 @@
 }
 
 func (rl *relay) countEvent() {
-	rl.j.HasOutput.Store(true)
+	if !rl.j.HasOutput.Swap(true) {
+		rl.router.Sender.Isolator.RecordOutput(rl.j.Parts)
+	}
 	now := rl.router.Clock.Now()
 	if rl.count == 0 {
 		rl.firstAt = now
@@ -282,7 +284,7 @@
 
 // respondFailed gives the final answer of a stream that no endpoint completed.
 func (rl *relay) respondFailed(ctx context.Context, failed *sender.SendError) {
-	rl.respond(ctx, result{status: http.StatusServiceUnavailable, reason: failed.Reason, retryAfter: max(minRetryAfter, failed.RetryAfter)})
+	rl.respond(ctx, refusal(failed))
 }
 
 // mayRetry reports whether a stream that failed with err may be tried again. If no send reached an endpoint it may, else
@@ -291,6 +293,9 @@
 	if !errors.As(err, &failed) {
 		failed = &sender.SendError{Outcome: sender.Unknown, Reason: err.Error()}
 	}
+	if failed.IsConvicted {
+		return failed, false
+	}
 	if failed.Outcome == sender.NotSent {
 		return failed, ctx.Err() == nil
 	}
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -159,6 +159,7 @@
 
 func (alone) Self() tracker.Member      { return tracker.Member{} }
 func (alone) Serving() []tracker.Member { return nil }
+func (alone) MaxServing() int           { return 1 }
 
 // callerView is what a caller saw of an answer.
 type callerView struct {
@@ -185,7 +186,7 @@
 			Dialect: lastEventDialect{}, Endpoints: list, Hosts: func() int { return 1 },
 			Retry: sender.RetryBudget{Ratio: 1, Allowance: 10, Window: time.Minute},
 			Isolator: isolator.New(isolator.Options{
-				CrashLimit: 3, Retention: time.Minute, Hosts: alone{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
+				RequestLimit: 3, PartLimit: 3, Retention: time.Minute, Random: rand.New(rand.NewPCG(2, 1)), Hosts: alone{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
 			}),
 			Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: logs, Scope: tally.NoopScope,
 		}),
--- a/transport/endpoints/generator/flow.go
+++ b/transport/endpoints/generator/flow.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/reserver"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/watcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
 )
 
 const (
@@ -134,7 +135,7 @@
 	}
 	if g.isDead(e) {
 		g.options.Endpoints.MarkDown(e.Name)
-		g.options.Isolator.RecordCrash(e.Name, f.fingerprint)
+		g.options.Isolator.RecordCrash(isolator.Endpoint{ID: e.Name + "/" + e.Load.Incarnation}, f.fingerprint)
 	}
 	return cause
 }
--- a/transport/endpoints/generator/generator.go
+++ b/transport/endpoints/generator/generator.go
@@ -139,7 +139,7 @@
 // a *RefusedError, a *FailedError or that of ctx.
 func (g *Generator) Generate(ctx context.Context, req Request, emit func(string) error) error {
 	fingerprint := xxhash.Sum64String(req.Prompt)
-	if g.options.Isolator.IsConvicted(fingerprint) {
+	if g.options.Isolator.IsConvicted(isolator.Work{Request: fingerprint}) {
 		return convictedError(false)
 	}
 	f := &flow{
@@ -177,7 +177,7 @@
 		return &FailedError{Tries: f.tries, Reason: refused.Reason}
 	case errors.As(err, &refused):
 		return refused
-	case g.options.Isolator.IsConvicted(f.fingerprint):
+	case g.options.Isolator.IsConvicted(isolator.Work{Request: f.fingerprint}):
 		return convictedError(f.tries > 0)
 	case f.tries >= maxTries || !g.takeRetry():
 		return &FailedError{Tries: f.tries, Reason: err.Error()}
--- a/transport/endpoints/generator/generator_test.go
+++ b/transport/endpoints/generator/generator_test.go
@@ -20,17 +20,18 @@
 
 func (noHosts) Self() tracker.Member      { return tracker.Member{} }
 func (noHosts) Serving() []tracker.Member { return nil }
+func (noHosts) MaxServing() int           { return 1 }
 
 // The fake clock never advances and there are no engines, so a refusal that waited for either would block forever.
 func TestAConvictedRequestIsRefusedWithoutWaitingAndWithoutAnEngine(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	i := isolator.New(isolator.Options{
-		CrashLimit: 2, Hosts: noHosts{}, Messenger: messenger.New("key", hclog.NewNullLogger(), tally.NoopScope),
+		RequestLimit: 2, PartLimit: 2, Random: rand.New(rand.NewPCG(2, 1)), Hosts: noHosts{}, Messenger: messenger.New("key", hclog.NewNullLogger(), tally.NoopScope),
 		Clock: clock, Logs: hclog.NewNullLogger(),
 	})
 	g := New(Options{Isolator: i, Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: hclog.NewNullLogger()})
-	i.RecordCrash("engine-1", xxhash.Sum64String("poison"))
-	i.RecordCrash("engine-2", xxhash.Sum64String("poison"))
+	i.RecordCrash(isolator.Endpoint{ID: "engine-1"}, xxhash.Sum64String("poison"))
+	i.RecordCrash(isolator.Endpoint{ID: "engine-2"}, xxhash.Sum64String("poison"))
 
 	err := g.Generate(context.Background(), Request{Prompt: "poison"}, nil)
 
--- a/transport/endpoints/sender/call.go
+++ b/transport/endpoints/sender/call.go
@@ -81,7 +81,7 @@
 			s.Isolator.RecordCompletion(j.Fingerprint)
 			return reply, nil
 		}
-		if !errors.As(err, &last) || last.Outcome == Unknown {
+		if !errors.As(err, &last) || last.Outcome == Unknown || last.IsConvicted {
 			return nil, err
 		}
 		if last.Outcome == NotRun && (int(j.Sends.Add(1)) >= j.MaxAttempts || !s.MayResend(j.Service)) {
@@ -203,7 +203,7 @@
 		if failed.Outcome != NotSent {
 			l.job.Sends.Add(1)
 		}
-		return true
+		return !failed.IsConvicted
 	}
 	l.job.Sends.Add(1)
 	l.lastReply = result.reply
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -5,23 +5,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/ejector"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/transport/dialer"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 	"github.com/hornbeamspan/hornbeamspan/transport/eventlogger"
-)
-
-const (
-	// crashCloseDelay is the time within which a crashed endpoint has closed its listening socket.
-	crashCloseDelay = 50 * time.Millisecond
-	// crashTimeout is how long an endpoint may take to accept a connection before it counts as crashed.
-	crashTimeout = 500 * time.Millisecond
+	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
 )
 
 // Outcome is what is known about the execution of a request whose send failed.
@@ -39,11 +32,16 @@
 
 func (o Outcome) String() string { return [...]string{"not sent", "not run", "unknown"}[o] }
 
+// ConvictedReason is why a request that is known to crash endpoints is not sent.
+const ConvictedReason = "endpoints crashed while they ran such requests"
+
 // SendError reports a send that returned no usable answer.
 type SendError struct {
 	Endpoint string
 	Outcome  Outcome
 	Reason   string
+	// IsConvicted is set if the request is known to crash endpoints.
+	IsConvicted bool
 	// RetryAfter is the time until the end of a pause that endpoints have requested, or until a rate limit permits the next
 	// request; 0 if there is neither.
 	RetryAfter time.Duration
@@ -88,6 +86,9 @@
 	if ctx.Err() != nil {
 		return nil, s.newSendError(j, e, NotSent, "the context of the request has ended") // no fault of the endpoint
 	}
+	if s.Isolator.IsConvicted(j.Work()) {
+		return nil, &SendError{Endpoint: e.ID, Outcome: NotSent, IsConvicted: true, Reason: ConvictedReason}
+	}
 	if until := e.PausedUntil(); s.Clock.Now().Before(until) {
 		failed := s.newSendError(j, e, NotSent, "the endpoint has requested a pause")
 		failed.RetryAfter = until.Sub(s.Clock.Now())
@@ -145,24 +146,17 @@
 	return s.newSendError(j, e, outcome, err.Error())
 }
 
-// recordInterruption records that an endpoint interrupted a request, unless the request's context has ended.
+// recordInterruption records that an endpoint interrupted a request, unless the request's context has ended. Prefill engines write no
+// output on the parts of a prompt.
 func (s *Sender) recordInterruption(ctx context.Context, j *Job, e *discoverer.Endpoint) {
 	if ctx.Err() != nil {
 		return
 	}
-	s.Isolator.RecordBrokenRequest(e.ID, j.Fingerprint)
-	go s.confirmCrash(e)
-}
-
-// confirmCrash checks by a connection whether an endpoint that interrupted a request has crashed.
-func (s *Sender) confirmCrash(e *discoverer.Endpoint) {
-	s.Clock.Sleep(crashCloseDelay)
-	conn, err := net.DialTimeout("tcp", e.Address.String(), crashTimeout)
-	if err != nil {
-		s.Isolator.RecordRemoval(e.ID)
-		return
+	work := j.Work()
+	if e.Stage == enroller.Prefill || j.HasOutput.Load() {
+		work.Parts = nil
 	}
-	_ = conn.Close()
+	s.Isolator.RecordInterruption(isolator.Endpoint{ID: e.ID, Start: e.IncarnationStart, Address: e.Address}, work)
 }
 
 // NoEndpointError returns the error of a request without a usable endpoint: none is listed, or all are paused.
@@ -180,7 +174,7 @@
 		"stage", e.Stage.String(), "outcome", outcome.String(), "reason", reason, "sends", j.Sends.Load(),
 	}
 	if len(j.Parts) > 0 {
-		pairs = append(pairs, "parts", strings.Join(j.Parts, ","), "output", j.HasOutput.Load())
+		pairs = append(pairs, "parts", fmt.Sprintf("%x", j.Parts), "output", j.HasOutput.Load())
 	}
 	eventlogger.Warn(s.Logs, eventlogger.SendFailed, pairs...)
 	return &SendError{Endpoint: e.ID, Outcome: outcome, Reason: reason}
--- a/transport/endpoints/sender/sender.go
+++ b/transport/endpoints/sender/sender.go
@@ -81,8 +81,8 @@
 	Hedge time.Duration
 	// Fingerprint is equal for requests that are the same work.
 	Fingerprint uint64
-	// Parts are the IDs of the shared parts of the prompt.
-	Parts []string
+	// Parts are the IDs of the shared parts of the prompt, in their order.
+	Parts []uint64
 	// HasOutput is set once an event of the answer was received.
 	HasOutput atomic.Bool
 	// Sends counts the sends so far, without those that did not reach their endpoint.
@@ -97,9 +97,12 @@
 // must not be sent.
 func (s *Sender) IsConvicted(j *Job) bool {
 	j.Fingerprint = Fingerprint(j)
-	return s.Isolator.IsConvicted(j.Fingerprint)
+	return s.Isolator.IsConvicted(j.Work())
 }
 
+// Work returns what of a job may crash endpoints.
+func (j *Job) Work() isolator.Work { return isolator.Work{Request: j.Fingerprint, Parts: j.Parts} }
+
 // Fingerprint hashes the method, host, target and body.
 func Fingerprint(j *Job) uint64 {
 	d := xxhash.New()
--- a/transport/endpoints/sender/sender_test.go
+++ b/transport/endpoints/sender/sender_test.go
@@ -37,6 +37,7 @@
 
 func (noHosts) Self() tracker.Member      { return tracker.Member{} }
 func (noHosts) Serving() []tracker.Member { return nil }
+func (noHosts) MaxServing() int           { return 1 }
 
 // newSender returns a sender with one endpoint of the service "desk" per handler; nil stands for an endpoint that refuses
 // connections.
@@ -58,7 +59,7 @@
 	return New(Options{
 		Dialect: plainDialect{}, Endpoints: list, Hosts: func() int { return 1 }, Retry: RetryBudget{Ratio: 1, Allowance: 10, Window: time.Minute},
 		Isolator: isolator.New(isolator.Options{
-			CrashLimit: 3, Retention: time.Minute, Hosts: noHosts{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
+			RequestLimit: 3, PartLimit: 3, Retention: time.Minute, Random: rand.New(rand.NewPCG(2, 1)), Hosts: noHosts{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
 		}),
 		Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: logs, Scope: tally.NoopScope,
 	})
@@ -145,7 +146,7 @@
 		s := newSender(t, answerWith(""))
 		j := newJob()
 		j.Fingerprint = Fingerprint(j)
-		s.Isolator.RecordCrash("crashed", j.Fingerprint)
+		s.Isolator.RecordCrash(isolator.Endpoint{ID: "crashed"}, j.Fingerprint)
 		require.True(t, s.Isolator.IsSuspect(j.Fingerprint))
 		_, err := send(s, j)
 		require.NoError(t, err)
--- a/transport/hostrunner/hostrunner.go
+++ b/transport/hostrunner/hostrunner.go
@@ -196,7 +196,8 @@
 	h.canceller = canceller.New(h.clock, h.logs)
 	h.orphanCanceller = orphancanceller.New(h.gossiper, h.watcher, h.canceller, h.clock, h.logs)
 	h.isolator = isolator.New(isolator.Options{
-		CrashLimit: engineCrashLimit, Retention: suspectRetention, Hosts: h.gossiper, Messenger: h.messenger, Clock: h.clock, Logs: h.logs,
+		RequestLimit: engineCrashLimit, PartLimit: engineCrashLimit, Retention: suspectRetention, Hosts: h.gossiper, Messenger: h.messenger,
+		Clock: h.clock, Random: h.newRand("isolator"), Logs: h.logs,
 	})
 	h.endpoints = discoverer.New(nil, h.clock, h.logs)
 	h.endpoints.OnRemoved(h.isolator.RecordEnd)
@@ -287,7 +288,7 @@
 func (h *Host) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
-	for _, run := range []func(context.Context){h.rules.Run, h.gossiper.Run, h.watcher.Run, h.auditor.Run, h.orphanCanceller.Run, h.followStreams} {
+	for _, run := range []func(context.Context){h.rules.Run, h.gossiper.Run, h.watcher.Run, h.auditor.Run, h.orphanCanceller.Run, h.isolator.Run, h.followStreams} {
 		h.wg.Go(func() { run(ctx) })
 	}
 }
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -120,7 +120,8 @@
 	// logUnreachableAfter is how long the log must be unreachable before the host announces it to others. A single slow
 	// answer is not an outage.
 	logUnreachableAfter = time.Second
-	// endpointCrashLimit is the number of endpoints that a request may crash before all hosts stop forwarding it.
+	// endpointCrashLimit is the number of endpoints that a request, or requests with a part in common, may crash before all hosts
+	// stop forwarding them.
 	endpointCrashLimit = 3
 	// bufferFraction is the fraction of the memory limit available to buffers for the answers of endpoints.
 	bufferFraction = 0.125
@@ -145,6 +146,7 @@
 	endpoints     *discoverer.Discoverer
 	dispatcher    *dispatcher.Dispatcher
 	permitter     *permitter.Permitter
+	isolator      *isolator.Isolator
 	stageSwitcher *stageswitcher.Switcher
 	sender        *sender.Sender
 	relayer       *relayer.Relayer
@@ -199,10 +201,11 @@
 	})
 	rh.configTopic = rh.relayer.Topic(cfg.Topics.Config, func(string, []byte, []byte) bool { return true })
 	rh.endpointTopic = rh.relayer.Topic(cfg.Topics.Endpoints, rh.isChange)
-	isolate := isolator.New(isolator.Options{
-		CrashLimit: endpointCrashLimit, Retention: suspectRetention, Hosts: rh.gossiper, Messenger: rh.messenger, Clock: clock, Logs: logs,
+	rh.isolator = isolator.New(isolator.Options{
+		RequestLimit: endpointCrashLimit, PartLimit: endpointCrashLimit, Retention: suspectRetention, Hosts: rh.gossiper, Messenger: rh.messenger,
+		Clock: clock, Random: rh.newRand("isolator", incarnation), Logs: logs,
 	})
-	rh.endpoints.OnRemoved(isolate.RecordEnd)
+	rh.endpoints.OnRemoved(rh.isolator.RecordEnd)
 	rh.endpoints.SetMetrics(rh.meter.Scope)
 	cfg.Engines.SetEndpoints(rh.endpoints)
 	rh.stageSwitcher = stageswitcher.New(stageswitcher.Options{
@@ -220,7 +223,7 @@
 	})
 	rh.endpoints.OnLeaving(rh.dispatcher.ReportLeaving)
 	rh.sender = sender.New(sender.Options{
-		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: rh.endpoints, Isolator: isolate, Hosts: rh.gossiper.MaxServing, Retry: cfg.Retry,
+		DataCentre: cfg.DataCentre, Dialect: cfg.Dialect, Endpoints: rh.endpoints, Isolator: rh.isolator, Hosts: rh.gossiper.MaxServing, Retry: cfg.Retry,
 		Permits:     rh.permitter,
 		BufferBytes: int64(bufferFraction * float64(cfg.MemoryBytes)),
 		Clock:       clock, Random: rh.newRand("sender", incarnation), Logs: logs, Scope: rh.meter.Scope,
@@ -346,7 +349,7 @@
 			introducing.SetEra(era)
 		},
 	})
-	for _, run := range []func(context.Context){config.Run, endpoints.Run, rh.endpoints.Run, rh.gossiper.Run, introducing.Run, rh.permitter.Run} {
+	for _, run := range []func(context.Context){config.Run, endpoints.Run, rh.endpoints.Run, rh.gossiper.Run, introducing.Run, rh.permitter.Run, rh.isolator.Run} {
 		rh.wg.Go(func() { run(ctx) })
 	}
 }
@@ -386,6 +389,7 @@
 	cancel()
 	rh.stop()
 	rh.dispatcher.Close()
+	rh.isolator.Close()
 	for _, l := range rh.listeners {
 		l.Close()
 	}
--- a/transport/hosts/isolator/isolator_test.go
+++ b/transport/hosts/isolator/isolator_test.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,10 +20,11 @@
 
 func (noHosts) Self() tracker.Member      { return tracker.Member{} }
 func (noHosts) Serving() []tracker.Member { return nil }
+func (noHosts) MaxServing() int           { return 1 }
 
 func newIsolator() *Isolator {
 	return New(Options{
-		CrashLimit: 3, Retention: time.Minute, Hosts: noHosts{}, Messenger: messenger.New("key", hclog.NewNullLogger(), tally.NoopScope),
+		RequestLimit: 3, PartLimit: 3, Retention: time.Minute, Hosts: noHosts{}, Random: rand.New(rand.NewPCG(1, 1)), Messenger: messenger.New("key", hclog.NewNullLogger(), tally.NoopScope),
 		Clock: clockwork.NewFakeClock(), Logs: hclog.NewNullLogger(),
 	})
 }
@@ -30,7 +32,7 @@
 // interrupt records n equal requests that an endpoint interrupted.
 func (i *Isolator) interrupt(endpoint string, n int) {
 	for range n {
-		i.RecordBrokenRequest(endpoint, fingerprint)
+		i.RecordInterruption(Endpoint{ID: endpoint}, Work{Request: fingerprint})
 	}
 }
 
@@ -40,7 +42,7 @@
 	i.interrupt("e1", 20)
 	i.RecordRemoval("e1")
 	assert.True(t, i.IsSuspect(fingerprint))
-	assert.False(t, i.IsConvicted(fingerprint))
+	assert.False(t, i.IsConvicted(Work{Request: fingerprint}))
 }
 
 // An endpoint that accepts no connection for a while interrupts requests one after the other. Each failed attempt to connect
@@ -51,7 +53,7 @@
 		i.interrupt("e1", 1)
 		i.RecordRemoval("e1")
 	}
-	assert.False(t, i.IsConvicted(fingerprint))
+	assert.False(t, i.IsConvicted(Work{Request: fingerprint}))
 }
 
 func TestARequestIsConvictedByThreeEndpointsOrByThreeStartsOfOne(t *testing.T) {
@@ -69,9 +71,9 @@
 	} {
 		i := newIsolator()
 		for n := range 3 {
-			assert.False(t, i.IsConvicted(fingerprint), name)
+			assert.False(t, i.IsConvicted(Work{Request: fingerprint}), name)
 			crash(i, n)
 		}
-		assert.True(t, i.IsConvicted(fingerprint), name)
+		assert.True(t, i.IsConvicted(Work{Request: fingerprint}), name)
 	}
 }
