--- a/parts/coordination/quarantiner/acquittals.go
+++ b/parts/coordination/quarantiner/acquittals.go
@@ -9,6 +9,8 @@
 const (
 	// maxAcquittals bounds the parts that are remembered in one period of the acquittal time, and those with evidence.
 	maxAcquittals = 1 << 14
+	// maxSilence bounds the time without output for which a host vouches for parts that were in use before.
+	maxSilence = time.Minute
 	// maxToldAcquittals bounds the acquittals that one host tells another; the newest are told.
 	maxToldAcquittals = 128
 )
@@ -21,6 +23,8 @@
 	recent    map[Cause]time.Time
 	older     map[Cause]time.Time
 	rotated   time.Time
+	// newest is the time of the newest output that passed through this host.
+	newest    time.Time
 	contested map[Cause]time.Time
 }
 
@@ -33,6 +37,7 @@
 
 // addOwn records output that passed through this host.
 func (l *acquittals) addOwn(now time.Time, c Cause) {
+	l.newest = now
 	if now.Sub(l.rotated) >= l.period {
 		l.rotated = now
 		l.older, l.recent = l.recent, make(map[Cause]time.Time, len(l.recent))
@@ -42,13 +47,14 @@
 	}
 }
 
-// own returns the newest output on a part that passed through this host lately.
-func (l *acquittals) own(c Cause) (time.Time, bool) {
-	if at, ok := l.recent[c]; ok {
-		return at, true
+// own returns the newest output on a part that passed through this host lately. The time in which it saw no output at all does not
+// count: if all engines are down, nothing speaks against the parts that were in use before.
+func (l *acquittals) own(now time.Time, c Cause) (time.Time, bool) {
+	at, ok := l.recent[c]
+	if !ok {
+		at, ok = l.older[c]
 	}
-	at, ok := l.older[c]
-	return at, ok
+	return at.Add(min(maxSilence, now.Sub(l.newest))), ok
 }
 
 // contest keeps an acquittal of a part that is blamed for an end. It returns false if a newer one is kept.
--- a/parts/coordination/quarantiner/judge.go
+++ b/parts/coordination/quarantiner/judge.go
@@ -8,10 +8,11 @@
 	"time"
 )
 
-// charge is the evidence against one cause.
+// charge is the evidence against one cause. Moments counts the bursts of ends that it was blamed for.
 type charge struct {
 	Blame
-	ends []*record
+	ends    []*record
+	moments int
 }
 
 // judge decides anew which causes are convicted.
@@ -52,15 +53,21 @@
 	}
 }
 
-// charges collects the evidence against each cause from the ends that are not explained.
+// charges collects the evidence against each cause from the ends that are not explained. If engines end in a burst and most of
+// them without a part, something else ended them.
 func (q *Quarantine) charges(explained map[Engine]bool) map[Cause]*charge {
 	charges := make(map[Cause]*charge)
-	for _, e := range q.ends {
-		if explained[e.Engine] {
-			continue
+	for _, burst := range q.bursts(explained) {
+		blamed := make(map[Cause][]*record)
+		for _, e := range burst {
+			for cause := range e.blames {
+				if q.counts(e, cause) {
+					blamed[cause] = append(blamed[cause], e)
+				}
+			}
 		}
-		for cause, depth := range e.blames {
-			if !q.counts(e, cause) {
+		for cause, ends := range blamed {
+			if cause.Kind == Part && 2*len(ends) < len(burst) {
 				continue
 			}
 			c := charges[cause]
@@ -68,13 +75,36 @@
 				c = &charge{Blame: Blame{Cause: cause}}
 				charges[cause] = c
 			}
-			c.Depth = max(c.Depth, depth)
-			c.ends = append(c.ends, e)
+			c.moments++
+			c.ends = append(c.ends, ends...)
+			for _, e := range ends {
+				c.Depth = max(c.Depth, e.blames[cause])
+			}
 		}
 	}
 	return charges
 }
 
+// bursts groups the ends that are not explained by their time.
+func (q *Quarantine) bursts(explained map[Engine]bool) [][]*record {
+	var ends []*record
+	for _, e := range q.ends {
+		if !explained[e.Engine] {
+			ends = append(ends, e)
+		}
+	}
+	slices.SortFunc(ends, func(a, b *record) int { return a.At.Compare(b.At) })
+	var bursts [][]*record
+	for _, e := range ends {
+		if last := len(bursts) - 1; last >= 0 && e.At.Sub(bursts[last][0].At) < q.cfg.BurstTime {
+			bursts[last] = append(bursts[last], e)
+			continue
+		}
+		bursts = append(bursts, []*record{e})
+	}
+	return bursts
+}
+
 // counts reports whether an end counts against a cause.
 func (q *Quarantine) counts(e *record, c Cause) bool {
 	if !e.isBlamedOn(c) {
@@ -117,17 +147,6 @@
 		return n >= q.cfg.RequestLimit
 	case q.former[c.Cause]:
 		return n >= formerLimit
-	case n >= q.cfg.BurstLimit:
-		return true
-	}
-	first, last := c.ends[0].At, c.ends[0].At
-	for _, e := range c.ends {
-		if e.At.Before(first) {
-			first = e.At
-		}
-		if e.At.After(last) {
-			last = e.At
-		}
 	}
-	return n >= q.cfg.PartLimit && last.Sub(first) >= q.cfg.BurstTime
+	return n >= q.cfg.BurstLimit || (n >= q.cfg.PartLimit && c.moments > 1)
 }
--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -81,8 +81,8 @@
 	// RequestLimit is the number of ends that convict a request, PartLimit that for a part.
 	RequestLimit int
 	PartLimit    int
-	// BurstLimit is the number of ends that convict a part although all of them came within BurstTime, in which a single
-	// cause beyond the requests may end several engines.
+	// BurstLimit is the number of ends that convict a part although they came in one burst. Ends within BurstTime of the first
+	// one are a burst, which may have a cause beyond the requests.
 	BurstLimit int
 	BurstTime  time.Duration
 	// Retention is how long an end counts, and how long a verdict lasts after the last request that it stopped.
@@ -158,7 +158,7 @@
 	isNew = union(&known.Deniers, e.Deniers, maxWitnesses) || isNew
 	isNew = known.blame(e.Blames) || isNew
 	for _, b := range e.Blames {
-		if at, ok := q.acquitted.own(b.Cause); ok && q.protects(at, known.At) {
+		if at, ok := q.acquitted.own(now, b.Cause); ok && q.protects(at, known.At) {
 			q.acquitted.contest(now, b.Cause, at)
 		}
 	}
@@ -249,10 +249,10 @@
 }
 
 // OwnAcquittals returns what this host itself knows in favour of the parts that the end of an engine is blamed on.
-func (q *Quarantine) OwnAcquittals(e End) []Acquittal {
+func (q *Quarantine) OwnAcquittals(now time.Time, e End) []Acquittal {
 	var list []Acquittal
 	for _, b := range e.Blames {
-		if at, ok := q.acquitted.own(b.Cause); ok && q.protects(at, e.At) {
+		if at, ok := q.acquitted.own(now, b.Cause); ok && q.protects(at, e.At) {
 			list = append(list, Acquittal{Cause: b.Cause, At: at})
 		}
 	}
--- a/parts/coordination/quarantiner/quarantiner_test.go
+++ b/parts/coordination/quarantiner/quarantiner_test.go
@@ -122,12 +122,42 @@
 func TestOldOutputProtectsAPartForAWhileOnly(t *testing.T) {
 	q := newQuarantine()
 	q.RecordOutput(after(-9), first)
+	q.RecordOutput(after(-0.1), third)
 	crash(q, 0, 2, first) // the second one comes half a second later, within the acquittal time
 	assert.Equal(t, 0, q.Crashes(first))
+	q.RecordOutput(after(1.9), third)
 	crash(q, 4, 3, first)
 	assert.True(t, q.IsConvicted(after(4), first))
 }
 
+// All engines were down for longer than the acquittal time, and what ended them again was blamed on the part that all requests have.
+func TestTimeWithoutAnyOutputDoesNotCountAgainstAPart(t *testing.T) {
+	q := newQuarantine()
+	q.RecordOutput(epoch, first)
+	crash(q, 60, 3, first)
+	assert.Equal(t, 0, q.Crashes(first))
+	crash(q, 200, 3, first)
+	assert.True(t, q.IsConvicted(after(102), first), "for longer than a host vouches")
+}
+
+// Engines of a rack ended together, again and again. A subject with requests at some of them each time was convicted.
+func TestABurstOfEndsCountsAgainstAPartOnlyIfMostOfThemHaveIt(t *testing.T) {
+	for _, c := range []struct {
+		blamed      int
+		isConvicted bool
+	}{{blamed: 2, isConvicted: false}, {blamed: 3, isConvicted: true}} {
+		q := newQuarantine()
+		for i := range 18 {
+			e := end(i, after(float64(i/6)), uint64(i))
+			if i%6 < c.blamed {
+				e = end(i, after(float64(i/6)), uint64(i), second)
+			}
+			q.Observe(e.At, e)
+		}
+		assert.Equal(t, c.isConvicted, q.IsConvicted(after(5), second), "%d of 6", c.blamed)
+	}
+}
+
 func TestAVerdictEndsWithOutputOnItsPart(t *testing.T) {
 	q := newQuarantine()
 	crash(q, 0, 3, second)
@@ -140,9 +170,9 @@
 	q, other := newQuarantine(), newQuarantine()
 	other.RecordOutput(after(-1), first)
 	e := end(0, epoch, 1, first, second)
-	assert.Equal(t, []Acquittal{{Cause: first, At: after(-1)}}, other.OwnAcquittals(e))
+	assert.Equal(t, []Acquittal{{Cause: first, At: epoch}}, other.OwnAcquittals(epoch, e))
 	crash(q, 0, 3, first)
-	q.Merge(after(1.01), Evidence{Acquittals: other.OwnAcquittals(e)})
+	q.Merge(after(1.01), Evidence{Acquittals: other.OwnAcquittals(epoch, e)})
 	assert.False(t, q.IsConvicted(after(2), first))
 }
 
--- a/transport/hosts/isolator/exchange.go
+++ b/transport/hosts/isolator/exchange.go
@@ -114,7 +114,7 @@
 	isNew := i.quarantine.Merge(now, ev)
 	var own []quarantiner.Acquittal
 	for _, e := range ev.Ends {
-		for _, a := range i.quarantine.OwnAcquittals(e) {
+		for _, a := range i.quarantine.OwnAcquittals(now, e) {
 			// Fewer ends convict nobody, and most parts are never blamed for a second one.
 			if i.quarantine.Blamed(a.Cause) >= i.options.PartLimit-1 {
 				own = append(own, a)
