Merge when an engine ended by the earliest report; hosts with other verdicts compare their evidence

An end is as early as the earliest report of it, and the digest covers the verdicts. Evidence is compared each third of the contact time with three hosts. Scenarios: hosts that were away; two parts at a time, one under streams that may be resumed; requests that wait for a place; engines that end for other reasons (no sound request refused for crashes).

--- a/lab/emulator/crash.go
+++ b/lab/emulator/crash.go
@@ -94,6 +94,22 @@
 	server.CloseClientConnections()
 }
 
+// Crash ends the engine for a reason of its own. It starts again later with another ID and address.
+func (e *Endpoint) Crash() {
+	e.mu.Lock()
+	id := e.id
+	e.crashed = e.starts + 1
+	e.mu.Unlock()
+	e.end(id)
+}
+
+// end drops all connections and has the engine start again.
+func (e *Endpoint) end(id string) {
+	e.dropConnections()
+	time.AfterFunc(e.cfg.EntryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
+	time.AfterFunc(e.cfg.RestartDelay, e.startAgain)
+}
+
 // crashAndRestart ends the engine. It starts again later with another ID and address, and knows nothing of before.
 func (e *Endpoint) crashAndRestart(part string) {
 	time.Sleep(crashDelay)
@@ -104,9 +120,7 @@
 	e.mu.Unlock()
 	if isFirst {
 		e.cfg.Crashes.recordCrash(part)
-		e.dropConnections()
-		time.AfterFunc(e.cfg.EntryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
-		time.AfterFunc(e.cfg.RestartDelay, e.startAgain)
+		e.end(id)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -154,7 +154,11 @@
 	if e.Expires.After(known.Expires) {
 		known.Expires = e.Expires
 	}
-	isNew := union(&known.Witnesses, e.Witnesses, maxWitnesses)
+	isNew := e.At.Before(known.At) // a message may have been held up
+	if isNew {
+		known.At = e.At
+	}
+	isNew = union(&known.Witnesses, e.Witnesses, maxWitnesses) || isNew
 	isNew = union(&known.Deniers, e.Deniers, maxWitnesses) || isNew
 	isNew = known.blame(e.Blames) || isNew
 	for _, b := range e.Blames {
--- a/scenarios/budget_test.go
+++ b/scenarios/budget_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,3 +95,99 @@
 	assert.GreaterOrEqual(t, n, 20)
 	assert.GreaterOrEqual(t, during, minSoundShare*before)
 }
+
+// convictedText is in the answers to requests that are refused because of crashes.
+const convictedText = "endpoints crashed while they ran such requests"
+
+// countConvicted returns how many requests were refused because of crashes.
+func countConvicted(replies []reply) int {
+	n := 0
+	for _, r := range replies {
+		if strings.Contains(r.body, convictedText) {
+			n++
+		}
+	}
+	return n
+}
+
+// Two parts crash engines at the same time, one under streams that may be resumed at another engine.
+func TestTwoPartsThatCrashEnginesAreStoppedAlsoWhereStreamsMayBeResumed(t *testing.T) {
+	t.Parallel()
+	crashes := emulator.NewCrashes("bad1", "bad2")
+	f := startFleet(t, fleetSize{hosts: 6, prefill: 2, decode: 8, crashes: crashes})
+	f.send(crashLeadTime, 30, "/brief/1", soundPrompts)
+	var sound, brief, scope []reply
+	var loads sync.WaitGroup
+	loads.Go(func() { brief = f.send(crashLoadTime, 5, "/brief/1", promptsWith("bad1")) })
+	loads.Go(func() { scope = f.send(crashLoadTime, 5, "/scope/1", promptsWith("bad2")) })
+	sound = f.send(crashLoadTime, 30, "/scope/1", soundPrompts)
+	loads.Wait()
+	assertStopped(t, crashes, "bad1", brief)
+	assertStopped(t, crashes, "bad2", scope)
+	during, n := servedShare(sound, provenAt(t, crashes, "bad2").Add(contactTime))
+	t.Logf("sound requests served: %.2f of %d after", during, n)
+	assert.GreaterOrEqual(t, during, minSoundShare)
+	assert.Zero(t, countConvicted(sound))
+}
+
+// Requests with the part wait for a place when the part is convicted, because all engines are in use or have ended.
+func TestWaitingRequestsWithAPartThatCrashesEnginesAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	crashes := emulator.NewCrashes("bad1")
+	f := startFleet(t, fleetSize{hosts: 6, prefill: 2, decode: 3, crashes: crashes})
+	f.send(crashLeadTime, 20, "/brief/1", soundPrompts)
+	bad := f.send(crashLoadTime, 40, "/brief/1", promptsWith("bad1"))
+	assertStopped(t, crashes, "bad1", bad)
+}
+
+// One host is cut off from the other hosts while a part crashes engines, one is suspended, and one starts later. None of them
+// has seen a crash.
+func TestHostsThatWereAwayStopTheSameRequests(t *testing.T) {
+	t.Parallel()
+	crashes := emulator.NewCrashes("bad1")
+	f := startFleet(t, fleetSize{hosts: 6, prefill: 2, decode: 6, crashes: crashes})
+	f.send(crashLeadTime, 30, "/brief/1", soundPrompts)
+	cut, suspended := 5, 4
+	f.partition.SetGroup(1, f.hosts[cut].Name)
+	require.NoError(t, f.hosts[suspended].Signal(syscall.SIGSTOP))
+	f.only = []int{0, 1, 2, 3}
+	f.send(4*time.Second, 5, "/brief/1", promptsWith("bad1"))
+	proven := provenAt(t, crashes, "bad1")
+	require.NoError(t, f.hosts[suspended].Signal(syscall.SIGCONT))
+	f.partition.SetGroup(0, f.hosts[cut].Name)
+	f.addHost("front-6")
+	f.awaitReady()
+	time.Sleep(contactTime)
+	for _, host := range []int{cut, suspended, 6} {
+		f.only = []int{host}
+		for _, r := range f.send(time.Second, 10, "/brief/1", promptsWith("bad1")) {
+			assert.Equal(t, http.StatusServiceUnavailable, r.status, f.hosts[host].Name)
+			assert.Contains(t, r.body, convictedText, f.hosts[host].Name)
+		}
+		sound, _ := servedShare(f.send(time.Second, 10, "/brief/1", soundPrompts), time.Time{})
+		assert.GreaterOrEqual(t, sound, minSoundShare, f.hosts[host].Name)
+	}
+	t.Logf("%d engines ended, %d arrivals later", len(crashes.Ended("bad1")), crashes.ArrivalsAfter("bad1", proven))
+	assert.LessOrEqual(t, crashes.ArrivalsAfter("bad1", proven), maxLateArrivals)
+}
+
+// Engines end one after the other and in groups, under sound requests that share parts.
+func TestSoundRequestsAreNotBlamedForEnginesThatEndForOtherReasons(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetSize{hosts: 6, prefill: 2, decode: 6, crashes: emulator.NewCrashes()})
+	done := make(chan []reply, 1)
+	go func() { done <- f.send(crashLoadTime, 40, "/brief/1", soundPrompts) }()
+	for _, group := range [][]int{{0}, {1}, {2}, {3, 4, 5}, {0, 1, 2, 3}, {4}, {0, 1, 2, 3, 4, 5}} {
+		time.Sleep(time.Second)
+		for _, i := range group {
+			go f.decode[i].Crash()
+		}
+	}
+	replies := <-done
+	served, n := servedShare(replies, time.Time{})
+	t.Logf("%.2f of %d served", served, n)
+	assert.Zero(t, countConvicted(replies))
+	restarted := time.Now().Add(crashLeadTime)
+	last, _ := servedShare(f.send(crashLeadTime+time.Second, 20, "/brief/1", soundPrompts), restarted)
+	assert.GreaterOrEqual(t, last, minSoundShare, "after the last end")
+}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -41,7 +41,9 @@
 	partition *partitioner.Partitioner
 	mu        sync.Mutex
 	random    *rand.Rand
-	lastID    atomic.Int64
+	// only are the hosts that requests go to; all if empty.
+	only   []int
+	lastID atomic.Int64
 }
 
 // fleetSize is the number of hosts and endpoints of a fleet.
@@ -220,6 +222,9 @@
 func (f *fleet) pickHost() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.only) > 0 {
+		return f.only[f.random.IntN(len(f.only))]
+	}
 	return f.random.IntN(len(f.hosts))
 }
 
--- a/transport/hostrunner/hostrunner.go
+++ b/transport/hostrunner/hostrunner.go
@@ -196,7 +196,7 @@
 	h.canceller = canceller.New(h.clock, h.logs)
 	h.orphanCanceller = orphancanceller.New(h.gossiper, h.watcher, h.canceller, h.clock, h.logs)
 	h.isolator = isolator.New(isolator.Options{
-		RequestLimit: engineCrashLimit, PartLimit: engineCrashLimit, Retention: suspectRetention, Hosts: h.gossiper, Messenger: h.messenger,
+		RequestLimit: engineCrashLimit, PartLimit: engineCrashLimit, Retention: suspectRetention, ContactTime: h.cfg.SuspicionTimeout, Hosts: h.gossiper, Messenger: h.messenger,
 		Clock: h.clock, Random: h.newRand("isolator"), Logs: h.logs,
 	})
 	h.endpoints = discoverer.New(nil, h.clock, h.logs)
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -202,7 +202,7 @@
 	rh.configTopic = rh.relayer.Topic(cfg.Topics.Config, func(string, []byte, []byte) bool { return true })
 	rh.endpointTopic = rh.relayer.Topic(cfg.Topics.Endpoints, rh.isChange)
 	rh.isolator = isolator.New(isolator.Options{
-		RequestLimit: endpointCrashLimit, PartLimit: endpointCrashLimit, Retention: suspectRetention, Hosts: rh.gossiper, Messenger: rh.messenger,
+		RequestLimit: endpointCrashLimit, PartLimit: endpointCrashLimit, Retention: suspectRetention, ContactTime: cfg.ContactTime, Hosts: rh.gossiper, Messenger: rh.messenger,
 		Clock: clock, Random: rh.newRand("isolator", incarnation), Logs: logs,
 	})
 	rh.endpoints.OnRemoved(rh.isolator.RecordEnd)
--- a/transport/hosts/isolator/exchange.go
+++ b/transport/hosts/isolator/exchange.go
@@ -23,10 +23,10 @@
 	kindCompare  = "compare"
 	// notifyTimeout bounds a message to one host.
 	notifyTimeout = time.Second
-	// compareInterval is the interval at which a host with evidence compares it with others, for those that missed a message.
-	compareInterval = time.Second
-	// compareHosts is the number of hosts that evidence is compared with at a time.
-	compareHosts = 2
+	// compareFraction is the fraction of the contact time after which a host with evidence compares it with others again, for
+	// those that missed a message; compareHosts is the number of hosts that it compares it with.
+	compareFraction = 1.0 / 3
+	compareHosts    = 3
 	// answerTime is how long an acquittal takes to reach all hosts, answerTimePerHost by how much acquittals of several hosts are
 	// spread so that few of them send the same one.
 	answerTime        = 50 * time.Millisecond
@@ -157,7 +157,7 @@
 
 // Run compares the evidence with other hosts until ctx ends, while there is any.
 func (i *Isolator) Run(ctx context.Context) {
-	ticker := i.options.Clock.NewTicker(compareInterval)
+	ticker := i.options.Clock.NewTicker(time.Duration(compareFraction * float64(i.options.ContactTime)))
 	defer ticker.Stop()
 	for {
 		select {
@@ -191,8 +191,8 @@
 func (i *Isolator) compare(ctx context.Context, m tracker.Member) {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	ev := i.evidence()
-	answer, err := messenger.Call[wire.EvidenceRequest, wire.EvidenceResponse](ctx, i.options.Messenger, m.Address, kindCompare, wire.EvidenceRequest{Digest: digest(ev)})
+	ev, sum := i.evidence()
+	answer, err := messenger.Call[wire.EvidenceRequest, wire.EvidenceResponse](ctx, i.options.Messenger, m.Address, kindCompare, wire.EvidenceRequest{Digest: sum})
 	if err != nil || answer.IsSame {
 		return
 	}
@@ -201,33 +201,42 @@
 }
 
 func (i *Isolator) handleCompare(_ context.Context, w wire.EvidenceRequest) (wire.EvidenceResponse, error) {
-	ev := i.evidence()
-	if digest(ev) == w.Digest {
+	ev, sum := i.evidence()
+	if sum == w.Digest {
 		return wire.EvidenceResponse{IsSame: true}, nil
 	}
 	return wire.EvidenceResponse{Evidence: ev}, nil
 }
 
-func (i *Isolator) evidence() wire.CrashEvidence {
+// evidence returns the evidence of this host and its digest.
+func (i *Isolator) evidence() (wire.CrashEvidence, uint64) {
 	now := i.options.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return encodeEvidence(now, i.quarantine.Evidence(now))
+	ev := encodeEvidence(now, i.quarantine.Evidence(now))
+	return ev, digest(ev, i.quarantine.Verdicts(now))
 }
 
-// digest is equal for the same ends and causes, whenever they were seen.
-func digest(ev wire.CrashEvidence) uint64 {
-	var sum uint64
+// digest is equal for the same ends, causes and verdicts. Times are left out: hosts learn of ends some milliseconds apart, and if
+// the difference matters, then to the verdicts.
+func digest(ev wire.CrashEvidence, verdicts []quarantiner.Cause) uint64 {
+	sum := uint64(0)
+	add := func(name string, numbers ...uint64) {
+		d := xxhash.New()
+		_, _ = d.WriteString(name)
+		for _, n := range numbers {
+			_, _ = d.Write(binary.BigEndian.AppendUint64(nil, n))
+		}
+		sum ^= d.Sum64() // independent of the order
+	}
 	for _, e := range ev.Ends {
 		for _, c := range e.Causes {
-			d := xxhash.New()
-			_, _ = d.WriteString(e.Engine)
-			for _, n := range []uint64{uint64(e.Start), uint64(c.Kind), c.Fingerprint, uint64(min(2, len(e.Witnesses)))} {
-				_, _ = d.Write(binary.BigEndian.AppendUint64(nil, n))
-			}
-			sum ^= d.Sum64()
+			add(e.Engine, uint64(e.Start), uint64(c.Kind), c.Fingerprint, uint64(min(2, len(e.Witnesses))))
 		}
 	}
+	for _, c := range verdicts {
+		add("", uint64(c.Kind), c.ID)
+	}
 	return sum
 }
 
--- a/transport/hosts/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -56,11 +56,13 @@
 	PartLimit    int
 	// Retention is how long crashes and verdicts are remembered.
 	Retention time.Duration
-	Hosts     Hosts
-	Messenger *messenger.Messenger
-	Clock     clockwork.Clock
-	Random    *rand.Rand
-	Logs      hclog.Logger
+	// ContactTime is the time within which a host that has contact to others again must know their verdicts.
+	ContactTime time.Duration
+	Hosts       Hosts
+	Messenger   *messenger.Messenger
+	Clock       clockwork.Clock
+	Random      *rand.Rand
+	Logs        hclog.Logger
 }
 
 // Endpoint is one incarnation of an endpoint.
