Take the removal of an engine's entry for a confirmation of its end

An end that one host reported counted against a part only if a second host had reached the engine's address in time. An engine that is cut off from the witnesses, or answers them too late, has its entry removed a few seconds later, which each host reads by itself.

--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -210,6 +210,19 @@
 	return isNew
 }
 
+// Confirm records that a host knows that all incarnations of an engine so far have ended, without a report of its own.
+func (q *Quarantine) Confirm(now time.Time, engineID, witness string) {
+	isNew := false
+	for _, e := range q.ends {
+		if e.Engine.ID == engineID {
+			isNew = union(&e.Witnesses, []string{witness}, maxWitnesses) || isNew
+		}
+	}
+	if isNew {
+		q.judge(now)
+	}
+}
+
 // RecordOutput acquits the parts of a prompt on which an engine has written output. It returns those that are blamed for an end,
 // of which other hosts should know.
 func (q *Quarantine) RecordOutput(now time.Time, parts ...Cause) []Acquittal {
--- a/parts/coordination/quarantiner/quarantiner_test.go
+++ b/parts/coordination/quarantiner/quarantiner_test.go
@@ -190,6 +190,14 @@
 		}
 		assert.False(t, q.IsConvicted(after(9), second), name)
 	}
+	listed := newQuarantine()
+	for i := range 3 {
+		e := end(i, after(float64(i)), uint64(i), second)
+		e.Witnesses = []string{"a"}
+		listed.Observe(e.At, e)
+		listed.Confirm(after(3), e.Engine.ID, "b")
+	}
+	assert.True(t, listed.IsConvicted(after(4), second), "the list of engines confirms the ends")
 	alone := newQuarantine()
 	alone.SetHosts(1, 0)
 	for i := range 3 {
--- a/transport/hosts/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -205,8 +205,10 @@
 func (i *Isolator) RecordEnd(id string) {
 	i.RecordRemoval(id)
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.endings[id]++
+	i.quarantine.Confirm(i.options.Clock.Now(), id, i.options.Hosts.Self().Name)
+	i.mu.Unlock()
+	i.enforce()
 }
 
 // RecordCrash records that an endpoint ended while it ran a request.
