--- a/transport/endpoints/sender/sender_test.go
+++ b/transport/endpoints/sender/sender_test.go
@@ -182,3 +182,30 @@
 		assert.Equal(t, c[1], string(reply.Body))
 	}
 }
+
+// A request was checked when it arrived. Its verdict came while it waited for a place, and it was sent all the same.
+func TestARequestThatIsConvictedBeforeItsSendReachesNoEndpoint(t *testing.T) {
+	for name, send := range map[string]func(*Sender, *Job) (*Reply, error){
+		"lookup": func(s *Sender, j *Job) (*Reply, error) { return s.Lookup(context.Background(), j) },
+		"once":   func(s *Sender, j *Job) (*Reply, error) { return s.AtMostOnce(context.Background(), j) },
+		"prefill": func(s *Sender, j *Job) (*Reply, error) {
+			return s.Exchange(context.Background(), j, s.Endpoints.Service("desk")[0], Send{Prefill: true})
+		},
+	} {
+		var requests atomic.Int64
+		count := func(http.ResponseWriter, *http.Request) { requests.Add(1) }
+		s := newSender(t, count, count)
+		j := newJob()
+		require.False(t, s.IsConvicted(j))
+		for i := range 3 {
+			s.Isolator.RecordCrash(isolator.Endpoint{ID: fmt.Sprint("crashed-", i)}, j.Fingerprint)
+		}
+		_, err := send(s, j)
+		var failed *SendError
+		require.ErrorAs(t, err, &failed, name)
+		assert.Equal(t, NotSent, failed.Outcome, name)
+		assert.True(t, failed.IsConvicted, name)
+		assert.Zero(t, requests.Load(), name)
+		assert.Zero(t, j.Sends.Load(), name)
+	}
+}
