--- a/transport/endpoints/sender/sender_test.go
+++ b/transport/endpoints/sender/sender_test.go
@@ -209,3 +209,36 @@
 		assert.Zero(t, j.Sends.Load(), name)
 	}
 }
+
+// Prefill engines read the parts of a prompt and write nothing, and an engine that has written output on a part was not crashed by it.
+func TestOnlyEnginesThatMayHaveBegunToWriteBlameThePartsOfAPrompt(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		stage       enroller.Stage
+		hasOutput   bool
+		isConvicted bool
+	}{
+		{name: "decode engine", stage: enroller.Decode, isConvicted: true},
+		{name: "decode engine, after output", stage: enroller.Decode, hasOutput: true},
+		{name: "prefill engine", stage: enroller.Prefill},
+	} {
+		s := newSender(t, abort, abort, abort)
+		parts := []uint64{0xab, 0xbad}
+		for i, e := range s.Endpoints.Service("desk") {
+			next := e.Endpoint
+			next.Stage = c.stage
+			s.Endpoints.Put(next, 2)
+			j := newJob()
+			j.Body, j.Parts = fmt.Appendf(nil, "request %d", i), parts
+			j.HasOutput.Store(c.hasOutput)
+			require.False(t, s.IsConvicted(j), c.name)
+			_, err := s.Exchange(context.Background(), j, s.Endpoints.Find("desk", e.ID), Send{})
+			require.Error(t, err)
+			s.Isolator.RecordRemoval(e.ID)
+			time.Sleep(200 * time.Millisecond) // ends in one burst count less
+		}
+		j := newJob()
+		j.Body, j.Parts = []byte("another request"), parts
+		assert.Equal(t, c.isConvicted, s.IsConvicted(j), c.name)
+	}
+}
