Acquit a completed request on all hosts; judge by the hosts in sight

Found on reading the change: a request that completed was cleared on one host, which got the evidence back from the next host that it compared with. Many callers send the same lookup, so three ends of engines within ten minutes, for whatever reason, would have convicted it. Its completion acquits it of the ends before on all hosts now, and is sent like output on a part. TestACompletionAtOneHostClearsARequestOnAllHosts fails without it. Also: the last host of many could convict nothing for want of a second witness; causes of a kind that a host does not know are left out instead of ending the process.

--- a/parts/coordination/quarantiner/judge.go
+++ b/parts/coordination/quarantiner/judge.go
@@ -107,17 +107,13 @@
 
 // counts reports whether an end counts against a cause.
 func (q *Quarantine) counts(e *record, c Cause) bool {
-	if !e.isBlamedOn(c) {
+	if !e.isBlamedOn(c) || q.isAcquitted(c, e.At) {
 		return false
 	}
 	if c.Kind == Request {
 		return true
 	}
-	if len(e.Witnesses) < min(minWitnesses, q.hosts) || len(e.Witnesses) < len(e.Deniers) {
-		return false
-	}
-	at, ok := q.acquitted.contested[c]
-	return !ok || !q.protects(at, e.At)
+	return len(e.Witnesses) >= min(minWitnesses, q.hosts) && len(e.Witnesses) >= len(e.Deniers)
 }
 
 // mostSpecific returns the most specific charge that suffices for a verdict.
--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -58,7 +58,7 @@
 	Blames []Blame
 }
 
-// Acquittal tells that an engine has written output on a part.
+// Acquittal tells that an engine has written output on a part, or completed a request.
 type Acquittal struct {
 	Cause Cause
 	At    time.Time
@@ -130,7 +130,13 @@
 // SetHosts sets the number of hosts, and how long they may take to acquit a part before it is convicted. Two of them must have
 // seen the end of an engine before it counts against a part, so that a host which alone has lost its contact to engines
 // convicts nothing.
-func (q *Quarantine) SetHosts(n int, answerTime time.Duration) { q.hosts, q.answerTime = n, answerTime }
+func (q *Quarantine) SetHosts(now time.Time, n int, answerTime time.Duration) {
+	isChanged := n != q.hosts
+	q.hosts, q.answerTime = n, answerTime
+	if isChanged && len(q.ends) > 0 {
+		q.judge(now)
+	}
+}
 
 // IsEmpty reports whether there is no evidence.
 func (q *Quarantine) IsEmpty() bool { return len(q.ends) == 0 }
@@ -161,10 +167,9 @@
 	isNew = union(&known.Witnesses, e.Witnesses, maxWitnesses) || isNew
 	isNew = union(&known.Deniers, e.Deniers, maxWitnesses) || isNew
 	isNew = known.blame(e.Blames) || isNew
-	for _, b := range e.Blames {
-		if at, ok := q.acquitted.own(now, b.Cause); ok && q.protects(at, known.At) {
-			q.acquitted.contest(now, b.Cause, at)
-		}
+	e.At = known.At
+	for _, a := range q.OwnAcquittals(now, e) {
+		q.acquitted.contest(now, a.Cause, a.At)
 	}
 	return isNew
 }
@@ -229,9 +234,7 @@
 	var contested []Acquittal
 	for _, c := range parts {
 		q.acquitted.addOwn(now, c)
-		if len(q.ends) > 0 && q.isCharged(c) && q.acquitted.contest(now, c, now) {
-			contested = append(contested, Acquittal{Cause: c, At: now})
-		}
+		contested = append(contested, q.acquit(now, c)...)
 	}
 	if len(contested) > 0 {
 		q.judge(now)
@@ -239,27 +242,39 @@
 	return contested
 }
 
-// RecordCompletion discards the evidence against a request that has completed, unless it is convicted.
-func (q *Quarantine) RecordCompletion(now time.Time, c Cause) {
+// RecordCompletion acquits a request that has completed of the ends before, unless it is convicted. It returns the acquittal if other
+// hosts should know of it.
+func (q *Quarantine) RecordCompletion(now time.Time, c Cause) []Acquittal {
 	if len(q.ends) == 0 || q.IsConvicted(now, c) {
-		return
+		return nil
 	}
-	for _, e := range q.ends {
-		delete(e.blames, c)
+	return q.acquit(now, c)
+}
+
+// acquit acquits a cause that is blamed for an end.
+func (q *Quarantine) acquit(now time.Time, c Cause) []Acquittal {
+	if len(q.ends) == 0 || !q.isCharged(c) || !q.acquitted.contest(now, c, now) {
+		return nil
 	}
+	return []Acquittal{{Cause: c, At: now}}
 }
 
-// isCharged reports whether an end counts against a part, or would if another host had seen it, too.
+// isCharged reports whether an end counts against a cause, or would if another host had seen it, too.
 func (q *Quarantine) isCharged(c Cause) bool {
-	at, ok := q.acquitted.contested[c]
 	for _, e := range q.ends {
-		if e.isBlamedOn(c) && (!ok || !q.protects(at, e.At)) {
+		if e.isBlamedOn(c) && !q.isAcquitted(c, e.At) {
 			return true
 		}
 	}
 	return false
 }
 
+// isAcquitted reports whether a cause is known not to have caused an end.
+func (q *Quarantine) isAcquitted(c Cause, end time.Time) bool {
+	at, ok := q.acquitted.contested[c]
+	return ok && q.protects(Acquittal{Cause: c, At: at}, end)
+}
+
 func (r *record) isBlamedOn(c Cause) bool {
 	_, ok := r.blames[c]
 	return ok
@@ -269,8 +284,9 @@
 func (q *Quarantine) OwnAcquittals(now time.Time, e End) []Acquittal {
 	var list []Acquittal
 	for _, b := range e.Blames {
-		if at, ok := q.acquitted.own(now, b.Cause); ok && q.protects(at, e.At) {
-			list = append(list, Acquittal{Cause: b.Cause, At: at})
+		at, ok := q.acquitted.own(now, b.Cause)
+		if a := (Acquittal{Cause: b.Cause, At: at}); ok && q.protects(a, e.At) {
+			list = append(list, a)
 		}
 	}
 	return list
@@ -280,16 +296,20 @@
 func (q *Quarantine) Unacquitted(e End) []Blame {
 	var list []Blame
 	for _, b := range e.Blames {
-		if at, ok := q.acquitted.contested[b.Cause]; !ok || !q.protects(at, e.At) {
+		if !q.isAcquitted(b.Cause, e.At) {
 			list = append(list, b)
 		}
 	}
 	return list
 }
 
-// protects reports whether output on a part at a time rules it out as the cause of an end.
-func (q *Quarantine) protects(output, end time.Time) bool {
-	return output.After(end.Add(-q.cfg.AcquittalTime))
+// protects reports whether an acquittal rules a cause out for an end. Output on a part protects it for a while; a request that
+// completes may crash the next engine with other luck.
+func (q *Quarantine) protects(a Acquittal, end time.Time) bool {
+	if a.Cause.Kind == Request {
+		return a.At.After(end)
+	}
+	return a.At.After(end.Add(-q.cfg.AcquittalTime))
 }
 
 // IsSuspect reports whether an engine ended while a request with the cause was running on it.
@@ -367,9 +387,10 @@
 	for _, e := range q.ends {
 		sent := e.End
 		for c, depth := range e.blames {
-			sent.Blames = append(sent.Blames, Blame{Cause: c, Depth: depth})
+			if !q.isAcquitted(c, e.At) {
+				sent.Blames = append(sent.Blames, Blame{Cause: c, Depth: depth})
+			}
 		}
-		sent.Blames = q.Unacquitted(sent)
 		if len(sent.Blames) > 0 {
 			ev.Ends = append(ev.Ends, sent)
 		}
--- a/parts/coordination/quarantiner/quarantiner_test.go
+++ b/parts/coordination/quarantiner/quarantiner_test.go
@@ -24,7 +24,7 @@
 
 func newQuarantine() *Quarantine {
 	q := New(testConfig)
-	q.SetHosts(12, 50*time.Millisecond)
+	q.SetHosts(epoch, 12, 50*time.Millisecond)
 	return q
 }
 
@@ -65,13 +65,34 @@
 	for i := range 2 {
 		q.Observe(epoch, end(i, epoch, whole.ID))
 	}
-	q.RecordCompletion(epoch, whole)
+	q.RecordCompletion(after(1), whole)
 	assert.False(t, q.IsSuspect(whole))
 	for i := range 3 {
-		q.Observe(epoch, end(10+i, epoch, whole.ID))
+		q.Observe(after(2), end(10+i, after(2), whole.ID))
 	}
-	q.RecordCompletion(epoch, whole)
-	assert.True(t, q.IsConvicted(epoch, whole))
+	q.RecordCompletion(after(3), whole)
+	assert.True(t, q.IsConvicted(after(3), whole))
+}
+
+// Many callers send the same lookup, and engines end for other reasons. Each host forgot the evidence when the lookup completed, and
+// got it back from another host.
+func TestACompletionAtOneHostClearsARequestOnAllHosts(t *testing.T) {
+	q, other := newQuarantine(), newQuarantine()
+	for i := range 2 {
+		e := end(i, after(float64(i)), whole.ID)
+		q.Observe(e.At, e)
+		other.Observe(e.At, e)
+	}
+	told := q.RecordCompletion(after(2), whole)
+	assert.Len(t, told, 1)
+	assert.Empty(t, q.RecordCompletion(after(3), whole), "nothing new")
+	q.Merge(after(3), other.Evidence(after(3)))
+	assert.False(t, q.IsSuspect(whole))
+	other.Merge(after(3), Evidence{Acquittals: told})
+	assert.False(t, other.IsSuspect(whole))
+	e := end(2, after(4), whole.ID)
+	other.Observe(e.At, e)
+	assert.Equal(t, 1, other.Crashes(whole))
 }
 
 // The same crash, seen by two hosts, was counted twice or not at all, and crashes that two hosts saw at once as one.
@@ -199,7 +220,7 @@
 	}
 	assert.True(t, listed.IsConvicted(after(4), second), "the list of engines confirms the ends")
 	alone := newQuarantine()
-	alone.SetHosts(1, 0)
+	alone.SetHosts(epoch, 1, 0)
 	for i := range 3 {
 		e := end(i, after(float64(i)), uint64(i), second)
 		e.Witnesses = []string{"a"}
--- a/parts/coordination/quarantiner/replay_test.go
+++ b/parts/coordination/quarantiner/replay_test.go
@@ -139,7 +139,7 @@
 	w := &world{load: l, how: how, random: rand.New(rand.NewPCG(seed, 1))}
 	for range l.hosts {
 		q := New(testConfig)
-		q.SetHosts(l.hosts, 50*time.Millisecond+time.Duration(l.hosts)*500*time.Microsecond)
+		q.SetHosts(epoch, l.hosts, 50*time.Millisecond+time.Duration(l.hosts)*500*time.Microsecond)
 		w.hosts = append(w.hosts, q)
 		w.told = append(w.told, make(map[Cause]float64))
 	}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -110,6 +110,19 @@
 	Cancelled bool `json:"cancelled"`
 }
 
+// CauseAcquittal tells that an engine has written output on a part of prompts, or
+// completed a request, Age milliseconds ago.
+type CauseAcquittal struct {
+	// Age corresponds to the JSON schema field "age".
+	Age int `json:"age"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind int `json:"kind"`
+
+	// Fingerprint corresponds to the JSON schema field "print".
+	Fingerprint uint64 `json:"print"`
+}
+
 // ClaimID identifies one claim. Sequence counts the claims of one incarnation of a
 // host.
 type ClaimID struct {
@@ -160,7 +173,7 @@
 // CrashEvidence is what a host knows of requests that crash engines.
 type CrashEvidence struct {
 	// Acquittals corresponds to the JSON schema field "acquittals".
-	Acquittals []PartAcquittal `json:"acquittals"`
+	Acquittals []CauseAcquittal `json:"acquittals"`
 
 	// Ends corresponds to the JSON schema field "ends".
 	Ends []EngineEnd `json:"ends"`
@@ -518,16 +531,6 @@
 	NotExecuted bool `json:"unsent"`
 }
 
-// PartAcquittal tells that an engine has written output on a part of prompts, Age
-// milliseconds ago.
-type PartAcquittal struct {
-	// Age corresponds to the JSON schema field "age".
-	Age int `json:"age"`
-
-	// Fingerprint corresponds to the JSON schema field "print".
-	Fingerprint uint64 `json:"print"`
-}
-
 // PermitRequest requests a permit for one request to one of several endpoints from
 // the owner of their service.
 type PermitRequest struct {
--- a/transport/hosts/isolator/exchange.go
+++ b/transport/hosts/isolator/exchange.go
@@ -40,7 +40,7 @@
 func (i *Isolator) report(e quarantiner.End, address netip.AddrPort) {
 	now := i.options.Clock.Now()
 	i.mu.Lock()
-	i.setHosts()
+	i.setHosts(now)
 	e.Expires = now.Add(i.options.Retention)
 	isNew := i.quarantine.Observe(now, e)
 	e.Blames = i.quarantine.Unacquitted(e)
@@ -59,21 +59,21 @@
 	i.notifyAll(message)
 }
 
-// setHosts passes the number of hosts on to the quarantine. The caller holds mu.
-func (i *Isolator) setHosts() {
-	n := max(1, i.options.Hosts.MaxServing(), len(i.options.Hosts.Serving()))
-	i.quarantine.SetHosts(n, answerTime+i.answerSpread(n))
+// setHosts passes the number of hosts on to the quarantine: those in sight, as a host that is left alone must judge by itself. The
+// caller holds mu.
+func (i *Isolator) setHosts(now time.Time) {
+	i.quarantine.SetHosts(now, max(1, len(i.options.Hosts.Serving())), answerTime+i.answerSpread())
 }
 
-func (i *Isolator) answerSpread(hosts int) time.Duration {
-	return time.Duration(hosts) * answerTimePerHost
+// answerSpread is the time over which hosts spread acquittals.
+func (i *Isolator) answerSpread() time.Duration {
+	return time.Duration(max(1, i.options.Hosts.MaxServing())) * answerTimePerHost
 }
 
 // expectVerdicts enforces the verdicts now, and those that come into force after the others had time to acquit a part.
 func (i *Isolator) expectVerdicts() {
 	i.enforce()
-	n := max(1, i.options.Hosts.MaxServing(), len(i.options.Hosts.Serving()))
-	i.options.Clock.AfterFunc(answerTime+i.answerSpread(n)+time.Millisecond, i.enforce)
+	i.options.Clock.AfterFunc(answerTime+i.answerSpread()+time.Millisecond, i.enforce)
 }
 
 func (i *Isolator) notifyAll(message wire.CrashEvidence) {
@@ -107,7 +107,7 @@
 	now := i.options.Clock.Now()
 	ev := decodeEvidence(now, w)
 	i.mu.Lock()
-	i.setHosts()
+	i.setHosts(now)
 	for _, a := range ev.Acquittals {
 		i.announced[a.Cause] = now
 	}
@@ -121,8 +121,7 @@
 			}
 		}
 	}
-	n := max(1, i.options.Hosts.MaxServing())
-	delay := time.Duration(i.options.Random.Int64N(int64(i.answerSpread(n))))
+	delay := time.Duration(i.options.Random.Int64N(int64(i.answerSpread())))
 	i.mu.Unlock()
 	if len(own) > 0 {
 		i.options.Clock.AfterFunc(delay, func() { i.announce(own) })
@@ -167,6 +166,9 @@
 			return
 		case <-ticker.Chan():
 		}
+		i.mu.Lock()
+		i.setHosts(i.options.Clock.Now())
+		i.mu.Unlock()
 		for _, m := range i.pickHosts() {
 			go i.compare(ctx, m)
 		}
@@ -241,7 +243,7 @@
 }
 
 func encodeEvidence(now time.Time, ev quarantiner.Evidence) wire.CrashEvidence {
-	w := wire.CrashEvidence{Ends: []wire.EngineEnd{}, Acquittals: []wire.PartAcquittal{}}
+	w := wire.CrashEvidence{Ends: []wire.EngineEnd{}, Acquittals: []wire.CauseAcquittal{}}
 	for _, e := range ev.Ends {
 		end := wire.EngineEnd{
 			Engine: e.Engine.ID, Start: e.Engine.Start, Age: int(now.Sub(e.At).Milliseconds()), Left: int(e.Expires.Sub(now).Milliseconds()),
@@ -253,11 +255,17 @@
 		w.Ends = append(w.Ends, end)
 	}
 	for _, a := range ev.Acquittals {
-		w.Acquittals = append(w.Acquittals, wire.PartAcquittal{Fingerprint: a.Cause.ID, Age: int(now.Sub(a.At).Milliseconds())})
+		w.Acquittals = append(w.Acquittals, wire.CauseAcquittal{Kind: int(a.Cause.Kind), Fingerprint: a.Cause.ID, Age: int(now.Sub(a.At).Milliseconds())})
 	}
 	return w
 }
 
+// decodeCause returns false for a kind that this version does not know.
+func decodeCause(kind int, fingerprint uint64) (quarantiner.Cause, bool) {
+	c := quarantiner.Cause{Kind: quarantiner.Kind(kind), ID: fingerprint}
+	return c, c.Kind == quarantiner.Request || c.Kind == quarantiner.Part
+}
+
 func decodeEvidence(now time.Time, w wire.CrashEvidence) quarantiner.Evidence {
 	var ev quarantiner.Evidence
 	ago := func(ms int) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
@@ -266,13 +274,16 @@
 			Engine: quarantiner.Engine{ID: e.Engine, Start: e.Start}, At: ago(e.Age), Expires: ago(-e.Left), Witnesses: e.Witnesses, Deniers: e.Deniers,
 		}
 		for _, c := range e.Causes {
-			cause := quarantiner.Cause{Kind: quarantiner.Kind(c.Kind), ID: c.Fingerprint}
-			end.Blames = append(end.Blames, quarantiner.Blame{Cause: cause, Depth: c.Depth})
+			if cause, ok := decodeCause(c.Kind, c.Fingerprint); ok {
+				end.Blames = append(end.Blames, quarantiner.Blame{Cause: cause, Depth: c.Depth})
+			}
 		}
 		ev.Ends = append(ev.Ends, end)
 	}
 	for _, a := range w.Acquittals {
-		ev.Acquittals = append(ev.Acquittals, quarantiner.Acquittal{Cause: quarantiner.Cause{Kind: quarantiner.Part, ID: a.Fingerprint}, At: ago(a.Age)})
+		if cause, ok := decodeCause(a.Kind, a.Fingerprint); ok {
+			ev.Acquittals = append(ev.Acquittals, quarantiner.Acquittal{Cause: cause, At: ago(a.Age)})
+		}
 	}
 	return ev
 }
--- a/transport/hosts/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -156,8 +156,9 @@
 // RecordCompletion clears the suspicion of a request that completed, unless it is convicted.
 func (i *Isolator) RecordCompletion(fingerprint uint64) {
 	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.quarantine.RecordCompletion(i.options.Clock.Now(), quarantiner.Cause{Kind: quarantiner.Request, ID: fingerprint})
+	contested := i.quarantine.RecordCompletion(i.options.Clock.Now(), quarantiner.Cause{Kind: quarantiner.Request, ID: fingerprint})
+	i.mu.Unlock()
+	i.announce(contested)
 }
 
 // RecordOutput clears the suspicion of the parts of a prompt, because an engine has written output on them.
