Pass on a JSON document in place of a stream as a whole

Found on reading the change: a request that asks for its answer in one piece, on a route of streams, got a stream that ended inside an event and was broken off. Its document is read to its end, like any plain answer, and counts as output on the parts of its prompt. TestADocumentInPlaceOfAStreamIsPassedOnWhole failed before (aborted) and passes; a cut document is a 502.

--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -235,8 +235,8 @@
 	if err != nil {
 		return false, err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return rl.forwardFailure(ctx, e, resp, begun)
+	if resp.StatusCode != http.StatusOK || sender.IsDocument(resp) {
+		return rl.forwardReply(ctx, e, resp, begun)
 	}
 	err = rl.forwardEvents(ctx, e, resp)
 	var disconnected *CallerDisconnectedError
@@ -254,8 +254,8 @@
 	return false, rt.Sender.AnswerInterrupted(ctx, &rl.j.Job, e, err.Error())
 }
 
-// forwardFailure forwards an answer that is not a stream, unless events were already sent to the caller.
-func (rl *relay) forwardFailure(ctx context.Context, e *discoverer.Endpoint, resp *http.Response, begun time.Time) (bool, error) {
+// forwardReply forwards an answer that is not a stream, unless events were already sent to the caller.
+func (rl *relay) forwardReply(ctx context.Context, e *discoverer.Endpoint, resp *http.Response, begun time.Time) (bool, error) {
 	rt := rl.router
 	reply, err := rt.Sender.ReadReply(ctx, &rl.j.Job, e, resp, begun)
 	if err != nil {
@@ -264,6 +264,9 @@
 	if rl.committed {
 		return false, &sender.SendError{Endpoint: e.ID, Outcome: sender.Unknown, Reason: "unable to resume stream: endpoint did not answer with a stream"}
 	}
+	if reply.Status == http.StatusOK {
+		rt.Sender.Isolator.RecordOutput(rl.j.Parts)
+	}
 	rt.Sender.Isolator.RecordCompletion(rl.j.Fingerprint)
 	rt.writeReply(rl.w, rl.j, reply)
 	return true, nil
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -70,6 +70,8 @@
 	closeDelay time.Duration
 	// resumedBytes is where the second run ends, without a length; 0 stands for its whole rest.
 	resumedBytes int
+	// document is sent in place of the stream, as JSON.
+	document string
 	// isRestarted has all runs begin with the first event.
 	isRestarted bool
 
@@ -105,6 +107,9 @@
 	}
 	body := strings.Join(streamEvents, "")
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	if e.document != "" {
+		body, head = e.document, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	}
 	switch e.framing {
 	case byLength:
 		length := len(body)
@@ -274,6 +279,23 @@
 	}
 }
 
+// A request may ask for an answer in one piece on a route of streams. Its document has no empty line at its end.
+func TestADocumentInPlaceOfAStreamIsPassedOnWhole(t *testing.T) {
+	const document = `{"choices":[{"text":"é"}]}`
+	for _, isCut := range []bool{false, true} {
+		engine := &rawEngine{document: document, framing: byClose, bytes: len(document)}
+		if isCut {
+			engine.bytes -= 3
+		}
+		got := callStream(t, engine, false)
+		if isCut {
+			assert.Equal(t, http.StatusBadGateway, got.status)
+			continue
+		}
+		assert.Equal(t, callerView{status: http.StatusOK, body: document, isComplete: true}, got)
+	}
+}
+
 // A stream without a length that ends between two events looks whole. It is not if its engine ended with it.
 func TestAStreamWithoutALengthWhoseEngineHasEndedIsBrokenOff(t *testing.T) {
 	whole := strings.Join(streamEvents, "")
--- a/transport/endpoints/sender/framing.go
+++ b/transport/endpoints/sender/framing.go
@@ -49,11 +49,13 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// IsDocument reports whether the body of an answer is a JSON document, which has an end of its own.
+func IsDocument(resp *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && kind == "application/json"
+}
+
 // isCutDocument reports whether a body is a document that cannot end where it does, and nothing else delimits it.
 func isCutDocument(resp *http.Response, body []byte) bool {
-	if FramingOf(resp) != FramedByClose {
-		return false
-	}
-	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && kind == "application/json" && !json.Valid(body)
+	return FramingOf(resp) == FramedByClose && IsDocument(resp) && !json.Valid(body)
 }
