--- a/parts/coordination/quarantiner/acquittals.go
+++ b/parts/coordination/quarantiner/acquittals.go
@@ -11,8 +11,8 @@
 	maxAcquittals = 1 << 14
 	// maxSilence bounds the time without output for which a host vouches for parts that were in use before.
 	maxSilence = time.Minute
-	// maxToldAcquittals bounds the acquittals that one host tells another; the newest are told.
-	maxToldAcquittals = 128
+	// maxSentAcquittals bounds the acquittals that one host sends to another; the newest are sent.
+	maxSentAcquittals = 128
 )
 
 // acquittals remembers the parts with output: the recent ones in two generations, and those that were blamed for an end for as
@@ -73,8 +73,8 @@
 	return true
 }
 
-// told returns the newest acquittals of parts that are blamed.
-func (l *acquittals) told(now time.Time) []Acquittal {
+// newestContested returns the newest acquittals of parts that are blamed.
+func (l *acquittals) newestContested(now time.Time) []Acquittal {
 	var list []Acquittal
 	for c, at := range l.contested {
 		if now.Sub(at) <= l.retention {
@@ -82,5 +82,5 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Acquittal) int { return b.At.Compare(a.At) })
-	return list[:min(len(list), maxToldAcquittals)]
+	return list[:min(len(list), maxSentAcquittals)]
 }
--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -395,7 +395,7 @@
 			ev.Ends = append(ev.Ends, sent)
 		}
 	}
-	ev.Acquittals = q.acquitted.told(now)
+	ev.Acquittals = q.acquitted.newestContested(now)
 	return ev
 }
 
--- a/parts/coordination/quarantiner/quarantiner_test.go
+++ b/parts/coordination/quarantiner/quarantiner_test.go
@@ -83,12 +83,12 @@
 		q.Observe(e.At, e)
 		other.Observe(e.At, e)
 	}
-	told := q.RecordCompletion(after(2), whole)
-	assert.Len(t, told, 1)
+	sent := q.RecordCompletion(after(2), whole)
+	assert.Len(t, sent, 1)
 	assert.Empty(t, q.RecordCompletion(after(3), whole), "nothing new")
 	q.Merge(after(3), other.Evidence(after(3)))
 	assert.False(t, q.IsSuspect(whole))
-	other.Merge(after(3), Evidence{Acquittals: told})
+	other.Merge(after(3), Evidence{Acquittals: sent})
 	assert.False(t, other.IsSuspect(whole))
 	e := end(2, after(4), whole.ID)
 	other.Observe(e.At, e)
@@ -290,6 +290,6 @@
 		q.RecordOutput(after(3), Cause{Kind: Part, ID: uint64(i)})
 	}
 	assert.LessOrEqual(t, len(q.acquitted.recent), maxAcquittals)
-	assert.LessOrEqual(t, len(q.Evidence(after(3)).Acquittals), maxToldAcquittals)
+	assert.LessOrEqual(t, len(q.Evidence(after(3)).Acquittals), maxSentAcquittals)
 	assert.Empty(t, q.Evidence(after(200)).Ends)
 }
--- a/parts/coordination/quarantiner/replay_test.go
+++ b/parts/coordination/quarantiner/replay_test.go
@@ -114,16 +114,16 @@
 
 type world struct {
 	load
-	how     mutant
-	random  *rand.Rand
-	events  queue
-	count   int
-	now     float64
-	hosts   []*Quarantine
-	told    []map[Cause]float64
-	engines []*engine
-	lastID  uint64
-	result  result
+	how       mutant
+	random    *rand.Rand
+	events    queue
+	count     int
+	now       float64
+	hosts     []*Quarantine
+	announced []map[Cause]float64
+	engines   []*engine
+	lastID    uint64
+	result    result
 }
 
 func (w *world) after(delay float64, do func()) {
@@ -141,7 +141,7 @@
 		q := New(testConfig)
 		q.SetHosts(epoch, l.hosts, 50*time.Millisecond+time.Duration(l.hosts)*500*time.Microsecond)
 		w.hosts = append(w.hosts, q)
-		w.told = append(w.told, make(map[Cause]float64))
+		w.announced = append(w.announced, make(map[Cause]float64))
 	}
 	for range l.engines {
 		w.engines = append(w.engines, &engine{isAlive: true})
@@ -345,7 +345,7 @@
 func (w *world) merge(host int, ev Evidence) {
 	q := w.hosts[host]
 	for _, a := range ev.Acquittals {
-		w.told[host][a.Cause] = w.now
+		w.announced[host][a.Cause] = w.now
 	}
 	q.Merge(w.clock(), ev)
 	var own []Acquittal
@@ -362,14 +362,14 @@
 // announce tells the other hosts of acquittals, unless it or another one did so lately.
 func (w *world) announce(host int, list []Acquittal) {
 	list = slices.DeleteFunc(slices.Clone(list), func(a Acquittal) bool {
-		at, ok := w.told[host][a.Cause]
+		at, ok := w.announced[host][a.Cause]
 		return ok && w.now-at < 1
 	})
 	if len(list) == 0 || w.how == ownEndsOnly {
 		return
 	}
 	for _, a := range list {
-		w.told[host][a.Cause] = w.now
+		w.announced[host][a.Cause] = w.now
 	}
 	for other := range w.hosts {
 		if other != host && !w.isLost(host, other) {
--- a/transport/endpoints/sender/sender_test.go
+++ b/transport/endpoints/sender/sender_test.go
@@ -168,7 +168,7 @@
 
 // A document without a length that is cut has a regular end. A caller got half of it as a success.
 func TestADocumentWithoutALengthIsCompleteOnlyIfItCanBeParsed(t *testing.T) {
-	const document = `{"ticket":"é","items":[1,{"n":2}]}`
+	const document = `{"receipt":"é","items":[1,{"n":2}]}`
 	for n := range len(document) {
 		_, err := newSender(t, writeUnframed("application/json; charset=utf-8", document[:n])).AtMostOnce(context.Background(), newJob())
 		var failed *SendError
@@ -189,7 +189,7 @@
 		"lookup": func(s *Sender, j *Job) (*Reply, error) { return s.Lookup(context.Background(), j) },
 		"once":   func(s *Sender, j *Job) (*Reply, error) { return s.AtMostOnce(context.Background(), j) },
 		"prefill": func(s *Sender, j *Job) (*Reply, error) {
-			return s.Exchange(context.Background(), j, s.Endpoints.Service("desk")[0], Send{Prefill: true})
+			return s.Exchange(context.Background(), j, s.Endpoints.Service(j.Service)[0], Send{Prefill: true})
 		},
 	} {
 		var requests atomic.Int64
@@ -224,7 +224,7 @@
 	} {
 		s := newSender(t, abort, abort, abort)
 		parts := []uint64{0xab, 0xbad}
-		for i, e := range s.Endpoints.Service("desk") {
+		for i, e := range s.Endpoints.Service(newJob().Service) {
 			next := e.Endpoint
 			next.Stage = c.stage
 			s.Endpoints.Put(next, 2)
@@ -232,7 +232,7 @@
 			j.Body, j.Parts = fmt.Appendf(nil, "request %d", i), parts
 			j.HasOutput.Store(c.hasOutput)
 			require.False(t, s.IsConvicted(j), c.name)
-			_, err := s.Exchange(context.Background(), j, s.Endpoints.Find("desk", e.ID), Send{})
+			_, err := s.Exchange(context.Background(), j, s.Endpoints.Find(j.Service, e.ID), Send{})
 			require.Error(t, err)
 			s.Isolator.RecordRemoval(e.ID)
 			time.Sleep(200 * time.Millisecond) // ends in one burst count less
--- a/transport/hosts/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -100,7 +100,7 @@
 	mu         sync.Mutex
 	quarantine *quarantiner.Quarantine
 	pending    map[string][]brokenRequest
-	// endings counts the ends of endpoints whose starts are not known, to tell their incarnations apart.
+	// endings counts the ends of endpoints that interrupted requests and whose starts are not known, to tell their incarnations apart.
 	endings map[string]int64
 	// logged are the verdicts that were logged, guards the requests that wait and end with a verdict.
 	logged map[quarantiner.Cause]bool
@@ -169,9 +169,8 @@
 	i.announce(contested)
 }
 
-// RecordInterruption records that an endpoint interrupted a request, and checks whether it has ended. parts are those of its prompt
-// that the endpoint may have begun to write output on. If the endpoint is found ended within crashWindow, the request and the parts
-// may be the cause.
+// RecordInterruption records that an endpoint interrupted a request, and checks whether it has ended. The parts of w are those that the
+// endpoint may have begun to write output on. If it is found ended within crashWindow, the request and the parts may be the cause.
 func (i *Isolator) RecordInterruption(e Endpoint, w Work) {
 	b := brokenRequest{endpoint: e, at: i.options.Clock.Now()}
 	for n, c := range w.causes() {
@@ -206,7 +205,9 @@
 func (i *Isolator) RecordEnd(id string) {
 	i.RecordRemoval(id)
 	i.mu.Lock()
-	i.endings[id]++
+	if _, ok := i.endings[id]; ok {
+		i.endings[id]++
+	}
 	i.quarantine.Confirm(i.options.Clock.Now(), id, i.options.Hosts.Self().Name)
 	i.mu.Unlock()
 	i.enforce()
@@ -238,9 +239,10 @@
 		if now.Sub(b.at) > crashWindow {
 			continue
 		}
-		engine := quarantiner.Engine{ID: b.endpoint.ID, Start: i.endings[b.endpoint.ID]}
-		if !b.endpoint.Start.IsZero() {
-			engine.Start = b.endpoint.Start.UnixMilli()
+		engine := quarantiner.Engine{ID: b.endpoint.ID, Start: b.endpoint.Start.UnixMilli()}
+		if b.endpoint.Start.IsZero() {
+			engine.Start = i.endings[b.endpoint.ID]
+			i.endings[b.endpoint.ID] = engine.Start
 		}
 		n := slices.IndexFunc(ends, func(e endOf) bool { return e.end.Engine == engine })
 		if n < 0 {
@@ -276,7 +278,7 @@
 	}
 }
 
-// enforce logs the verdicts that are new, and ends the wait of the requests that they concern.
+// enforce logs the verdicts that are new or have ended, and ends the wait of the requests that they concern.
 func (i *Isolator) enforce() {
 	now := i.options.Clock.Now()
 	i.mu.Lock()
@@ -289,6 +291,11 @@
 			eventlogger.Warn(i.options.Logs, eventlogger.RequestConvicted, "kind", c.Kind.String(), "fingerprint", fmt.Sprintf("%x", c.ID), "deaths", i.quarantine.Crashes(c))
 		}
 	}
+	for c := range i.logged {
+		if !slices.Contains(verdicts, c) {
+			eventlogger.Info(i.options.Logs, eventlogger.VerdictEnded, "kind", c.Kind.String(), "fingerprint", fmt.Sprintf("%x", c.ID))
+		}
+	}
 	clear(i.logged)
 	for _, c := range verdicts {
 		i.logged[c] = true
