--- a/parts/coordination/quarantiner/replay_test.go
+++ b/parts/coordination/quarantiner/replay_test.go
@@ -507,7 +507,8 @@
 		how  mutant
 		load load
 	}{
-		{"evidence by whole requests", wholeRequests, crashing}, {"only ends that the host has seen", ownEndsOnly, crashing},
+		{"evidence by whole requests", wholeRequests, crashing},
+		{"only ends that the host has seen", ownEndsOnly, crashing},
 		{"output ignored", noAcquittals, failing},
 	} {
 		found := 0
