--- a/lab/emulator/crash.go
+++ b/lab/emulator/crash.go
@@ -136,3 +136,15 @@
 	e.listen()
 	e.announce()
 }
+
+// Poison in the body of a request crashes the endpoint that begins to run it.
+const Poison = "poison"
+
+// crash records the run, stops the listener and drops all connections.
+func (e *Endpoint) crash(id, body string) {
+	e.mu.Lock()
+	e.runs = append(e.runs, Run{ID: id, Body: body})
+	e.mu.Unlock()
+	e.dropConnections()
+	panic(http.ErrAbortHandler)
+}
--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -342,24 +342,6 @@
 	return "answer of " + e.cfg.ID
 }
 
-func (e *Endpoint) answersEarly() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.fault == EarlyAnswer
-}
-
-// Poison in the body of a request crashes the endpoint that begins to run it.
-const Poison = "poison"
-
-// crash records the run, stops the listener and drops all connections.
-func (e *Endpoint) crash(id, body string) {
-	e.mu.Lock()
-	e.runs = append(e.runs, Run{ID: id, Body: body})
-	e.mu.Unlock()
-	e.dropConnections()
-	panic(http.ErrAbortHandler)
-}
-
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, body string, fault Fault) {
 	id := r.Header.Get("Request-Id")
 	e.mu.Lock()
--- a/lab/emulator/raw.go
+++ b/lab/emulator/raw.go
@@ -106,3 +106,9 @@
 
 // resetDelay lets the first half of an answer arrive before the reset, which would discard unread bytes.
 const resetDelay = 20 * time.Millisecond
+
+func (e *Endpoint) answersEarly() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fault == EarlyAnswer
+}
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -298,20 +298,6 @@
 	return nil
 }
 
-// onConnectionLimit logs and counts a connection above the maximum.
-func (rh *RoutingHost) onConnectionLimit(isClosed bool) {
-	outcome := "another one made room"
-	if isClosed {
-		outcome = "closed"
-	}
-	rh.meter.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("crowded_connections").Inc(1)
-	eventlogger.Warn(rh.logs, eventlogger.ConnectionLimit, "bound", rh.cfg.MaxConnections, "outcome", outcome)
-}
-
-func (rh *RoutingHost) lifetime() time.Duration {
-	return min(time.Duration(lifetimeFraction*float64(rh.cfg.Grace)), rh.cfg.AddressLifetime)
-}
-
 // IsReady reports whether the host has read the endpoint list, has a routing table and is not draining.
 func (rh *RoutingHost) IsReady() bool {
 	select {
@@ -322,16 +308,6 @@
 	return !rh.draining.Load() && rh.router.Table() != nil
 }
 
-// addresses returns the addresses of serving hosts in random order, which spreads the callers.
-func (rh *RoutingHost) addresses(string) []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, m := range rh.gossiper.Serving() {
-		list = append(list, m.Callers)
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), maxAddresses)]
-}
-
 func (rh *RoutingHost) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	rh.stop = stop
