Build the refusal of a convicted request in one place; simpler loops in the splitter and the quarantine

No change of behaviour, found on the last reading: the refusal was put together at the door, after the wait and before each send; the splitter trimmed each line twice; IsSuspect repeated the loop of Crashes.

--- a/parts/coordination/quarantiner/quarantiner.go
+++ b/parts/coordination/quarantiner/quarantiner.go
@@ -192,7 +192,7 @@
 
 // acquit acquits a cause that is blamed for an end.
 func (q *Quarantine) acquit(now time.Time, c Cause) []Acquittal {
-	if len(q.ends) == 0 || !q.isCharged(c) || !q.acquitted.contest(now, c, now) {
+	if !q.isCharged(c) || !q.acquitted.contest(now, c, now) {
 		return nil
 	}
 	return []Acquittal{{Cause: c, At: now}}
@@ -247,17 +247,7 @@
 }
 
 // IsSuspect reports whether an engine ended while a request with the cause was running on it.
-func (q *Quarantine) IsSuspect(c Cause) bool {
-	if len(q.ends) == 0 {
-		return false
-	}
-	for _, e := range q.ends {
-		if q.counts(e, c) {
-			return true
-		}
-	}
-	return false
-}
+func (q *Quarantine) IsSuspect(c Cause) bool { return q.Crashes(c) > 0 }
 
 // Crashes returns the number of ends that count against a cause.
 func (q *Quarantine) Crashes(c Cause) int {
--- a/protocol/splitter/splitter.go
+++ b/protocol/splitter/splitter.go
@@ -65,6 +65,7 @@
 		line, err := s.r.ReadSlice('\n')
 		e.Bytes = append(e.Bytes, line...)
 		s.rest = len(e.Bytes)
+		text := bytes.TrimRight(line, "\r\n")
 		switch {
 		case s.rest > maxEventBytes:
 			return Event{}, &TooLongError{Read: s.rest}
@@ -72,14 +73,13 @@
 			return Event{}, &PartialError{Rest: s.rest}
 		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
 			return Event{}, err
-		case isLineStart && line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0:
+		case isLineStart && len(text) > 0 && text[0] != ':':
 			e.IsComment = false
 		}
 		if err != nil {
 			isLineStart = false
 			continue
 		}
-		text := bytes.TrimRight(line, "\r\n")
 		if isLineStart && len(text) == 0 {
 			s.rest = 0
 			return e, nil
--- a/transport/callers/router/call.go
+++ b/transport/callers/router/call.go
@@ -38,11 +38,11 @@
 	if failed.Outcome == sender.Unknown {
 		return unknownOutcome(ctx, failed.Reason)
 	}
-	return refusal(failed)
+	return notRunResult(failed)
 }
 
-// refusal is the result of a request that has not run.
-func refusal(failed *sender.SendError) result {
+// notRunResult is the result of a request that has not run.
+func notRunResult(failed *sender.SendError) result {
 	wait := max(minRetryAfter, failed.RetryAfter)
 	if failed.IsConvicted {
 		wait = convictedRetryAfter
--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -45,7 +45,7 @@
 		p, err := rt.place(ctx, rl)
 		var convicted *isolator.ConvictedError
 		if errors.As(err, &convicted) {
-			failed = &sender.SendError{Outcome: sender.NotSent, IsConvicted: true, Reason: sender.ConvictedReason}
+			failed = sender.NewConvictedError("")
 			break
 		}
 		var refused *dispatcher.RefusedError
--- a/transport/callers/router/router.go
+++ b/transport/callers/router/router.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if rt.Sender.IsConvicted(&j.Job) {
-		rt.respond(w, j, result{status: http.StatusServiceUnavailable, reason: sender.ConvictedReason, retryAfter: convictedRetryAfter})
+		rt.respond(w, j, notRunResult(sender.NewConvictedError("")))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.Expires)
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -287,7 +287,7 @@
 
 // respondFailed gives the final answer of a stream that no endpoint completed.
 func (rl *relay) respondFailed(ctx context.Context, failed *sender.SendError) {
-	rl.respond(ctx, refusal(failed))
+	rl.respond(ctx, notRunResult(failed))
 }
 
 // mayRetry reports whether a stream that failed with err may be tried again. If no send reached an endpoint it may, else
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -32,9 +32,6 @@
 
 func (o Outcome) String() string { return [...]string{"not sent", "not run", "unknown"}[o] }
 
-// ConvictedReason is why a request that is known to crash endpoints is not sent.
-const ConvictedReason = "endpoints crashed while they ran such requests"
-
 // SendError reports a send that returned no usable answer.
 type SendError struct {
 	Endpoint string
@@ -51,6 +48,12 @@
 	return fmt.Sprintf("sender: unable to get an answer from %s: %s", e.Endpoint, e.Reason)
 }
 
+// NewConvictedError returns the error of a request that is known to crash endpoints and is not sent. The endpoint is empty if none was
+// chosen yet.
+func NewConvictedError(endpoint string) *SendError {
+	return &SendError{Endpoint: endpoint, Outcome: NotSent, IsConvicted: true, Reason: "endpoints crashed while they ran such requests"}
+}
+
 // IsRefused reports whether the endpoint refused the request, directly or by an earlier notice.
 func (e *SendError) IsRefused() bool { return e.Outcome == NotRun || e.RetryAfter > 0 }
 
@@ -87,7 +90,7 @@
 		return nil, s.newSendError(j, e, NotSent, "the context of the request has ended") // no fault of the endpoint
 	}
 	if s.Isolator.IsConvicted(j.Work()) {
-		return nil, &SendError{Endpoint: e.ID, Outcome: NotSent, IsConvicted: true, Reason: ConvictedReason}
+		return nil, NewConvictedError(e.ID)
 	}
 	if until := e.PausedUntil(); s.Clock.Now().Before(until) {
 		failed := s.newSendError(j, e, NotSent, "the endpoint has requested a pause")
