Wait until a suspended process has stopped

Cause: the kernel hands SIGSTOP to one thread of a process; the others run on until that one is scheduled and stops them. The launcher returned before, so host-1 could still confirm the version. Class: a test that takes a signal sent for a signal taken effect.

Ruled out by reading: one host under two names (hosts are polled by name, and the other publications of the run counted right), a host counted without an answer (a host counts only once it has answered with the version).

Change: Process.Signal waits for SIGSTOP until no thread runs. The test fails without the wait (1 to 20 stops). The check of the scenario is as it was; its output names the hosts, so that another failure would tell which one was counted.

--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -28,6 +27,8 @@
 	Token = "lab-token"
 	// readyTimeout limits the wait until one process is listening, and until one host is ready.
 	readyTimeout = 15 * time.Second
+	// stopTimeout limits the wait until all threads of a process that got SIGSTOP are stopped.
+	stopTimeout = 5 * time.Second
 	// pollInterval is the interval between two checks of a condition in Await.
 	pollInterval = 20 * time.Millisecond
 )
@@ -277,9 +278,6 @@
 	return nil
 }
 
-// Signal sends sig to the process by its ID, without a wait for any effect.
-func (p *Process) Signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
-
 // PID returns the ID of the process, which changes with Restart.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
--- /dev/null
+++ b/lab/launcher/process_test.go
@@ -0,0 +1,46 @@
+package launcher
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// busyVariable makes the test program a process with busy threads.
+const busyVariable = "LAUNCHER_TEST_BUSY"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(busyVariable) == "" {
+		os.Exit(m.Run())
+	}
+	for range 2 * runtime.NumCPU() {
+		go func() {
+			runtime.LockOSThread()
+			for {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}()
+	}
+	select {}
+}
+
+// A host that ran on after SIGSTOP confirmed a publication for which the scenario expects it to be suspended.
+func TestNoThreadRunsOnceAProcessHasBeenSuspended(t *testing.T) {
+	for range 20 {
+		p := &Process{Name: "busy", bin: os.Args[0], dir: t.TempDir(), env: []string{busyVariable + "=1"}}
+		require.NoError(t, p.launch())
+		t.Cleanup(p.Kill)
+		require.NoError(t, Await(t.Context(), readyTimeout, func() bool {
+			threads, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", p.PID()))
+			return err == nil && len(threads) > runtime.NumCPU()
+		}))
+		require.NoError(t, p.Signal(syscall.SIGSTOP))
+		require.True(t, isStopped(p.PID()))
+		p.Kill()
+	}
+}
--- a/scenarios/driver_test.go
+++ b/scenarios/driver_test.go
@@ -199,7 +199,7 @@
 	}
 	text := launcher.Rules(d.targets) + strings.Join(args[3:], " ") + "\n"
 	v, err := demonstrator.Publish(d.ctx, d.system.Find(args[0]), args[1], base, text)
-	return fmt.Sprintf("%s version=%d hosts=%d behind=%d %s", v.Verdict, v.Version, len(v.InForce), len(v.Pending), v.Reason), err
+	return fmt.Sprintf("%s version=%d hosts=%d behind=%d %s%v", v.Verdict, v.Version, len(v.InForce), len(v.Pending), v.Reason, v.InForce), err
 }
 
 func (d *driver) caller(o options) (*loadgenerator.Caller, netip.AddrPort) {
