--- a/transport/endpoints/dispatcher/dispatcher_test.go
+++ b/transport/endpoints/dispatcher/dispatcher_test.go
@@ -41,14 +41,14 @@
 
 func newFrozenOwner(t *testing.T) *frozenOwner {
 	m := messenger.New("key", hclog.NewNullLogger(), tally.NoopScope)
-	h := &frozenOwner{Member: tracker.Member{Name: "home"}}
+	h := &frozenOwner{Member: tracker.Member{Name: "owner"}}
 	h.frozen.Store(true)
 	messenger.Handle(m, kindPlace, func(ctx context.Context, _ wire.PlacementRequest) (wire.PlacementResponse, error) {
 		h.placeRequests.Add(1)
 		if h.frozen.Load() {
 			<-ctx.Done()
 		}
-		return wire.PlacementResponse{State: statePlaced, Engine: "d", Hold: "by the home"}, nil
+		return wire.PlacementResponse{State: statePlaced, Engine: "d", Hold: "by the owner"}, nil
 	})
 	messenger.Handle(m, kindPing, func(ctx context.Context, _ wire.Empty) (wire.Empty, error) {
 		if h.frozen.Load() {
@@ -57,7 +57,7 @@
 		return wire.Empty{}, nil
 	})
 	l, err := listener.Listen(listener.Options{
-		Name: "home", Address: anyPort, Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: m.Accept}},
+		Name: "owner", Address: anyPort, Routes: []rest.Route{{Method: http.MethodGet, Path: messenger.Path, Handler: m.Accept}},
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() {
@@ -151,7 +151,7 @@
 	owner.frozen.Store(false)
 	require.Eventually(t, func() bool { return !d.isUnresponsive(owner.Name) }, 5*time.Second, 10*time.Millisecond)
 	p := place(t, d, "second")
-	assert.Equal(t, "by the home", p.Hold)
+	assert.Equal(t, "by the owner", p.Hold)
 }
 
 func TestASchedulerStartsANewWarmUpAfterItsHostWasSuspended(t *testing.T) {
