Stop the auditor although its queue is full

Operators would see a host that does not exit: at a stop during an outage of the log, the auditor put the record that it was appending back into its queue. If that is full, its only consumer waits for itself, for good.

Change: the record gets its one attempt at once, like those in the queue. TestAStopDuringAnOutageOfTheLogTriesEachQueuedRecordOnce does not stop within 3 s before, and takes 0.2 s now, each of the 1,001 records tried once.

--- a/transport/store/auditor/auditor.go
+++ b/transport/store/auditor/auditor.go
@@ -71,21 +71,26 @@
 	for {
 		select {
 		case r := <-a.queue:
-			if a.send(context.Background(), r) != nil {
-				eventlogger.Error(a.logs, eventlogger.AuditAppendFailed, "actor", r.Actor, "action", r.Action, "subject", r.Subject)
-			}
+			a.appendOnce(r)
 		default:
 			return
 		}
 	}
 }
 
+// appendOnce makes one attempt, even at a stop.
+func (a *Auditor) appendOnce(r wire.AuditRecord) {
+	if a.send(context.Background(), r) != nil {
+		eventlogger.Error(a.logs, eventlogger.AuditAppendFailed, "actor", r.Actor, "action", r.Action, "subject", r.Subject)
+	}
+}
+
 func (a *Auditor) append(ctx context.Context, r wire.AuditRecord) {
 	for a.send(ctx, r) != nil {
 		select {
 		case <-a.clock.After(retryDelay):
 		case <-ctx.Done():
-			a.queue <- r
+			a.appendOnce(r)
 			return
 		}
 	}
