Ignore parts of checkpoints with impossible numbers

A part of a checkpoint of claims with a number that the checkpoint cannot have ended the host (nil pointer), and as all hosts read the same log, all of them, again after each start. Parts of two checkpoints of one state that differ in their number were mixed.

Change: such a part is ignored, so that the host goes on without the checkpoint and refuses calls rather than guess; parts of another total begin a new collection. Both tests failed before (the first by the nil pointer).

--- a/parts/coordination/claimer/checkpoint.go
+++ b/parts/coordination/claimer/checkpoint.go
@@ -26,6 +26,7 @@
 // partialCheckpoint collects the parts of one checkpoint until it is complete.
 type partialCheckpoint struct {
 	upto  uint64
+	total int
 	parts map[int]*Checkpoint
 }
 
@@ -78,20 +79,21 @@
 	return parts
 }
 
-// Restore collects r if it is part of a checkpoint, and loads the checkpoint once it is complete.
+// Restore collects r if it is part of a checkpoint, and loads the checkpoint once it is complete. A part with a number that its
+// checkpoint cannot have is ignored.
 func (l *Ledger) Restore(r replayer.Record[Payload]) (uint64, bool) {
 	c := r.Payload.Checkpoint
-	if c == nil {
+	if c == nil || c.Part < 0 || c.Part >= c.Parts {
 		return 0, false
 	}
-	if l.partial.parts == nil || l.partial.upto != c.Upto {
-		l.partial = partialCheckpoint{upto: c.Upto, parts: make(map[int]*Checkpoint)}
+	if l.partial.upto != c.Upto || l.partial.total != c.Parts {
+		l.partial = partialCheckpoint{upto: c.Upto, total: c.Parts, parts: make(map[int]*Checkpoint)}
 	}
 	l.partial.parts[c.Part] = c
-	if len(l.partial.parts) < c.Parts {
+	if len(l.partial.parts) < l.partial.total {
 		return 0, false
 	}
-	l.load(c.Parts)
+	l.load(l.partial.total)
 	return c.Upto, true
 }
 
--- a/parts/coordination/claimer/ledger_test.go
+++ b/parts/coordination/claimer/ledger_test.go
@@ -227,3 +227,30 @@
 		})
 	}
 }
+
+// restore reports whether c completes a checkpoint.
+func restore(l *Ledger, c Checkpoint) bool {
+	_, ok := l.Restore(replayer.Record[Payload]{Payload: Payload{Checkpoint: &c}})
+	return ok
+}
+
+// A damaged record of the log, which all hosts read, ended each of them.
+func TestACheckpointWithInvalidPartNumbersIsIgnored(t *testing.T) {
+	holding := Holding{ID: id("a", 1), Key: key(1), At: epoch}
+	for _, c := range []Checkpoint{{Part: -1, Parts: 1}, {Part: 1, Parts: 1}, {Part: 0, Parts: 0}, {Part: 0, Parts: -1}} {
+		l := NewLedger(time.Hour)
+		l.hold(holding)
+		assert.False(t, restore(l, c), "part %d of %d", c.Part, c.Parts)
+		_, held := l.Holder(key(1))
+		assert.True(t, held, "part %d of %d", c.Part, c.Parts)
+	}
+}
+
+func TestPartsOfTwoCheckpointsOfOneStateAreNotMixed(t *testing.T) {
+	l := NewLedger(time.Hour)
+	assert.False(t, restore(l, Checkpoint{Part: 0, Parts: 3, Now: epoch}))
+	assert.False(t, restore(l, Checkpoint{Part: 1, Parts: 2, Now: epoch}))
+	assert.True(t, restore(l, Checkpoint{Part: 0, Parts: 2, Now: epoch, Holdings: []Holding{{ID: id("a", 1), Key: key(1), At: epoch}}}))
+	_, held := l.Holder(key(1))
+	assert.True(t, held)
+}
