--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	cd parts && go test -run xxx -fuzz FuzzParse -fuzztime 20s ./coordination/parser
 	go test -run xxx -fuzz FuzzDecode -fuzztime 20s ./protocol/encoder
 	go test -run xxx -fuzz FuzzSplit -fuzztime 20s ./protocol/splitter
+	go test -run xxx -fuzz FuzzDecodeRecords -fuzztime 20s ./platform
 
 clean:
 	rm -rf $(BIN) out
