Do not take an error's body for an engine's load report

An engine of the own interface that answers the poll of its load with an error, and a JSON body, counted as one without slots and memory until its next report: the reader did not check the status. Class: an answer read without its status; searched for in transport/endpoints, transport/store and platform, no other place found.

Change: only an answer with 200 is a report. TestAnErrorInPlaceOfALoadReportKeepsTheLastReport failed before (0 slots in place of 8).

--- a/transport/endpoints/watcher/watcher.go
+++ b/transport/endpoints/watcher/watcher.go
@@ -206,7 +206,7 @@
 	}
 	defer resp.Body.Close()
 	var load completer.Load
-	if json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load) == nil {
+	if resp.StatusCode == http.StatusOK && json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load) == nil {
 		w.Report(e.Name, load)
 	}
 }
