Take holds without a probe of the engine's memory

A new owner, and a host that places on its own, first took and dropped a hold of the size that a run was expected to reach, to prove that the engine's memory was free. Hypothesis: it prevents preemptions while the count of the runs is not reliable.

--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -2,7 +2,7 @@
 //
 // One host owns a service. It tracks the generations that all hosts run at the service's engines, orders the waiting ones
 // and packs the engines' memory. Its state is a hint: the engine itself grants each reservation, and a host that cannot reach
-// the owner places requests on its own, after it has probed the engine's free memory.
+// the owner places requests on its own.
 package dispatcher
 
 import (
@@ -293,7 +293,7 @@
 func (d *Dispatcher) requestPlace(ctx context.Context, r Request, timeout time.Duration) (wire.PlacementResponse, error) {
 	owner, isOwn := d.owner(r.Service)
 	if isOwn || d.isUnresponsive(owner.Name) {
-		return d.scheduler(r.Service).poll(ctx, r.placerRequest(d.DataCentre), timeout, !isOwn || !d.Hosts.HasMajority()), nil
+		return d.scheduler(r.Service).poll(ctx, r.placerRequest(d.DataCentre), timeout), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+answerGrace)
 	defer cancel()
@@ -328,7 +328,7 @@
 		MaxPause: milliseconds(m.MaxPause), ExcludedEngines: m.ExcludedEngines,
 		Arrived: now.Add(-milliseconds(m.Age)), FirstEventDeadline: now.Add(milliseconds(m.FirstEventDeadline)), LatestStart: now.Add(milliseconds(m.LatestStart)),
 	}
-	return d.scheduler(m.Service).poll(ctx, r.placerRequest(m.DataCentre), milliseconds(m.Wait), !d.Hosts.HasMajority()), nil
+	return d.scheduler(m.Service).poll(ctx, r.placerRequest(m.DataCentre), milliseconds(m.Wait)), nil
 }
 
 // ReportProgress sends a progress report to the owner, and applies it to the local scheduler if there is one.
--- a/transport/endpoints/dispatcher/scheduler.go
+++ b/transport/endpoints/dispatcher/scheduler.go
@@ -25,9 +25,8 @@
 
 // pendingRequest is a request that waits, or whose placement its host has not fetched yet.
 type pendingRequest struct {
-	request         placer.Request
-	isUncoordinated bool
-	isReserving     bool
+	request     placer.Request
+	isReserving bool
 	// lastPolled is the time of the last poll by the request's host, pollTimeout how long that poll waits.
 	lastPolled  time.Time
 	pollTimeout time.Duration
@@ -79,8 +78,8 @@
 }
 
 // poll admits a request, or continues to wait for its result if it is pending already.
-func (s *scheduler) poll(ctx context.Context, r placer.Request, timeout time.Duration, isUncoordinated bool) wire.PlacementResponse {
-	pr := s.admit(r, timeout, isUncoordinated)
+func (s *scheduler) poll(ctx context.Context, r placer.Request, timeout time.Duration) wire.PlacementResponse {
+	pr := s.admit(r, timeout)
 	select {
 	case answer := <-pr.answer:
 		s.remove(pr)
@@ -91,7 +90,7 @@
 	return wire.PlacementResponse{State: stateWaiting}
 }
 
-func (s *scheduler) admit(r placer.Request, timeout time.Duration, isUncoordinated bool) *pendingRequest {
+func (s *scheduler) admit(r placer.Request, timeout time.Duration) *pendingRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.checkClock()
@@ -102,7 +101,7 @@
 	pr := s.pending[r.ID]
 	if pr == nil {
 		r = s.placer.RecordArrival(now, r)
-		pr = &pendingRequest{request: r, isUncoordinated: isUncoordinated, answer: make(chan wire.PlacementResponse, 1)}
+		pr = &pendingRequest{request: r, answer: make(chan wire.PlacementResponse, 1)}
 		s.pending[r.ID] = pr
 	}
 	pr.lastPolled, pr.pollTimeout = now, timeout
@@ -235,7 +234,7 @@
 		}
 		pr := s.pending[p.ID]
 		pr.isReserving = true
-		go s.reserve(pr, p, s.holdFor(now, pr, engine), permits)
+		go s.reserve(pr, p, s.placer.HoldTokens(pr.request), engine.MaxHold, permits)
 	}
 	return true
 }
