--- a/lab/launcher/process.go
+++ b/lab/launcher/process.go
@@ -60,6 +60,34 @@
 	<-p.exited
 }
 
+// Signal sends sig to the process by its ID. For SIGSTOP it also waits until all threads are stopped: the kernel hands the
+// signal to one thread, and the others run on until that one is scheduled.
+func (p *Process) Signal(sig syscall.Signal) error {
+	if err := p.cmd.Process.Signal(sig); err != nil || sig != syscall.SIGSTOP {
+		return err
+	}
+	return Await(context.Background(), stopTimeout, func() bool { return p.hasExited() || isStopped(p.PID()) })
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func isStopped(pid int) bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if os.IsNotExist(err) {
+			continue
+		}
+		// The state follows the name of the thread in parentheses, which may hold any character.
+		if err != nil || !bytes.HasPrefix(stat[bytes.LastIndexByte(stat, ')')+1:], []byte(" T")) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Process) launch() error {
 	out, err := os.OpenFile(filepath.Join(p.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -117,31 +145,3 @@
 func (e *ExitError) Error() string {
 	return "launcher: unable to start " + e.Name + ": the process exited before it was listening; its log file has the reason"
 }
-
-// Signal sends sig to the process by its ID. For SIGSTOP it also waits until all threads are stopped: the kernel hands the
-// signal to one thread, and the others run on until that one is scheduled.
-func (p *Process) Signal(sig syscall.Signal) error {
-	if err := p.cmd.Process.Signal(sig); err != nil || sig != syscall.SIGSTOP {
-		return err
-	}
-	return Await(context.Background(), stopTimeout, func() bool { return p.hasExited() || isStopped(p.PID()) })
-}
-
-// isStopped reports whether all threads of a process are stopped.
-func isStopped(pid int) bool {
-	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
-	if err != nil || len(files) == 0 {
-		return false
-	}
-	for _, file := range files {
-		stat, err := os.ReadFile(file)
-		if os.IsNotExist(err) {
-			continue
-		}
-		// The state follows the name of the thread in parentheses, which may hold any character.
-		if err != nil || !bytes.HasPrefix(stat[bytes.LastIndexByte(stat, ')')+1:], []byte(" T")) {
-			return false
-		}
-	}
-	return true
-}
