Stand-in: one piece of code ends an engine

Crash and crashAndRestart each kept their own record of whether the engine had ended, and Crash did not look at it: an engine that was crashed again before its next start (twice in TestSoundRequestsAreNotBlamedForEnginesThatEndForOtherReasons) started twice, and the first of its servers was never closed. Both use end() now; the state is a bool in place of a number of starts; `crashing`, a second spelling of `part`, is gone. When ends are recorded, and all checks of the scenarios, are as before. TestAnEngineThatHasEndedStartsAgainOnce failed before.

--- a/lab/emulator/crash.go
+++ b/lab/emulator/crash.go
@@ -30,8 +30,12 @@
 	return c
 }
 
-// part returns the part of a request's prompt that crashes engines, empty if there is none. The last one never does.
+// part returns the part of a request's prompt that crashes an engine which runs it, empty if there is none. The last one never
+// does.
 func (c *Crashes) part(r *http.Request) string {
+	if c == nil {
+		return ""
+	}
 	entries := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
 	for _, entry := range entries[:len(entries)-1] {
 		if id, _, _ := strings.Cut(entry, ":"); c.parts[id] {
@@ -43,9 +47,6 @@
 
 // recordArrival counts a request at an engine of either stage, refused ones included.
 func (c *Crashes) recordArrival(r *http.Request) {
-	if c == nil {
-		return
-	}
 	if part := c.part(r); part != "" {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -53,14 +54,6 @@
 	}
 }
 
-// crashing returns the part of a prompt that crashes an engine which runs it.
-func (c *Crashes) crashing(r *http.Request) string {
-	if c == nil {
-		return ""
-	}
-	return c.part(r)
-}
-
 func (c *Crashes) recordCrash(part string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -88,35 +81,31 @@
 	server.CloseClientConnections()
 }
 
-// Crash ends the engine for a reason of its own. It starts again later with another ID and address.
-func (e *Endpoint) Crash() {
-	e.mu.Lock()
-	id := e.id
-	e.crashed = e.starts + 1
-	e.mu.Unlock()
-	e.end(id)
-}
+// Crash ends the engine for a reason of its own. It starts again later with another ID and address, and knows nothing of before.
+func (e *Endpoint) Crash() { e.end("") }
 
-// end drops all connections and has the engine start again.
-func (e *Endpoint) end(id string) {
-	e.dropConnections()
-	time.AfterFunc(e.cfg.EntryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
-	time.AfterFunc(e.cfg.RestartDelay, e.startAgain)
+// crashUnder ends the engine under a request with a part that crashes engines.
+func (e *Endpoint) crashUnder(part string) {
+	time.Sleep(crashDelay)
+	e.end(part)
+	panic(http.ErrAbortHandler)
 }
 
-// crashAndRestart ends the engine. It starts again later with another ID and address, and knows nothing of before.
-func (e *Endpoint) crashAndRestart(part string) {
-	time.Sleep(crashDelay)
+// end drops all connections and has the engine start again, unless it has ended already. part is what it ended under, if anything.
+func (e *Endpoint) end(part string) {
 	e.mu.Lock()
-	id, start := e.id, e.starts
-	isFirst := e.crashed != start+1
-	e.crashed = start + 1
+	id, hasEnded := e.id, e.hasEnded
+	e.hasEnded = true
 	e.mu.Unlock()
-	if isFirst {
+	if hasEnded {
+		return
+	}
+	if part != "" {
 		e.cfg.Crashes.recordCrash(part)
-		e.end(id)
 	}
-	panic(http.ErrAbortHandler)
+	e.dropConnections()
+	time.AfterFunc(e.cfg.EntryLifetime, func() { e.store.Put("keyed.servers", id, nil) })
+	time.AfterFunc(e.cfg.RestartDelay, e.startAgain)
 }
 
 // startAgain begins a new incarnation with another ID and address.
@@ -126,6 +115,7 @@
 	if e.isClosed {
 		return
 	}
+	e.hasEnded = false
 	e.starts++
 	e.id = fmt.Sprintf("%s-%d", e.cfg.ID, e.starts)
 	e.sequence, e.orderCount, e.fence = 0, 0, 0
--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -125,9 +125,9 @@
 	limits   limitRecord
 	// id is the ID of the present start, isClosed is set once the endpoint must not start again.
 	id string
-	// starts counts the starts after crashes; crashed is one more for the start that has crashed, 0 if none has.
+	// starts counts the starts after crashes, hasEnded is set from a crash to the next start.
 	starts   int
-	crashed  int
+	hasEnded bool
 	isClosed bool
 }
 
@@ -327,8 +327,8 @@
 		e.crash(r.Header.Get("Request-Id"), string(body))
 		return
 	}
-	if part := e.cfg.Crashes.crashing(r); part != "" {
-		e.crashAndRestart(part)
+	if part := e.cfg.Crashes.part(r); part != "" {
+		e.crashUnder(part)
 		return
 	}
 	e.run(w, r, string(body), fault)
