--- a/transport/hosts/isolator/isolator.go
+++ b/transport/hosts/isolator/isolator.go
@@ -143,6 +143,11 @@
 func (i *Isolator) IsConvicted(w Work) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	return i.isConvicted(w)
+}
+
+// isConvicted is IsConvicted for callers that hold mu. Without evidence it costs no list of causes.
+func (i *Isolator) isConvicted(w Work) bool {
 	return !i.quarantine.IsEmpty() && i.quarantine.IsConvicted(i.options.Clock.Now(), w.causes()...)
 }
 
@@ -266,7 +271,7 @@
 	g := &guard{work: w, cancel: cancel}
 	i.mu.Lock()
 	i.guards[g] = true
-	if !i.quarantine.IsEmpty() && i.quarantine.IsConvicted(i.options.Clock.Now(), w.causes()...) {
+	if i.isConvicted(w) {
 		cancel(&ConvictedError{Work: w})
 	}
 	i.mu.Unlock()
@@ -304,7 +309,7 @@
 		return
 	}
 	for g := range i.guards {
-		if i.quarantine.IsConvicted(now, g.work.causes()...) {
+		if i.isConvicted(g.work) {
 			g.cancel(&ConvictedError{Work: g.work})
 		}
 	}
