--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -59,6 +59,8 @@
 	ID         string
 	Service    string
 	DataCentre string
+	// Version is the version of the software; empty stands for v1.
+	Version string
 	// Stage is prefill or decode, or empty for a plain service.
 	Stage string
 	// Slots limits concurrent requests and holds of an engine, MemoryTokens their KV cache.
@@ -181,7 +183,7 @@
 func (e *Endpoint) announce() {
 	e.sequence++
 	entry := map[string]any{
-		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.DataCentre, "version": "v1", "slots": e.cfg.Slots,
+		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.DataCentre, "version": e.version(), "slots": e.cfg.Slots,
 		"state": e.state, "coldRemainingMs": 0, "sequence": e.sequence, "born": e.incarnationStart,
 	}
 	if e.stage != "" {
@@ -190,6 +192,13 @@
 	e.store.PutJSON("keyed.servers", e.id, entry)
 }
 
+func (e *Endpoint) version() string {
+	if e.cfg.Version == "" {
+		return "v1"
+	}
+	return e.cfg.Version
+}
+
 // Drain writes an entry in the draining state.
 func (e *Endpoint) Drain() {
 	e.mu.Lock()
--- a/parts/coordination/enroller/enroller.go
+++ b/parts/coordination/enroller/enroller.go
@@ -38,9 +38,11 @@
 	Service    string
 	Address    netip.AddrPort
 	DataCentre string
-	Slots      int
-	Leaving    bool
-	Stage      Stage
+	// Version is the version of the endpoint's software.
+	Version string
+	Slots   int
+	Leaving bool
+	Stage   Stage
 	// Sequence increases with each announcement of one incarnation.
 	Sequence int64
 	// IncarnationStart identifies and orders incarnations.
--- a/transport/callers/router/dialect.go
+++ b/transport/callers/router/dialect.go
@@ -28,9 +28,14 @@
 	Deadline time.Duration
 	// LastEventID is the ID of the last event that the caller received of a stream; empty for a new stream.
 	LastEventID string
-	Prompt      Prompt
+	// Resumes is the ID of the request that brought the first event of a stream that the caller resumes.
+	Resumes string
+	Prompt  Prompt
 }
 
+// IsResumption reports whether the caller has received a part of the stream before.
+func (r Request) IsResumption() bool { return r.LastEventID != "" || r.Resumes != "" }
+
 // Dialect parses and writes the headers of requests and answers.
 type Dialect interface {
 	sender.Dialect
--- a/transport/callers/router/router.go
+++ b/transport/callers/router/router.go
@@ -172,6 +172,10 @@
 	if j.route = table.Match(r.Host, path); j.route == nil {
 		return j, &result{status: http.StatusNotFound, reason: "no route matches host and path"}
 	}
+	if j.request.IsResumption() {
+		j.Trace.Set("resumes", j.request.Resumes)
+		j.Trace.Set("after", j.request.LastEventID)
+	}
 	j.service = table.Services[j.route.PickService(rt.Sender.NewRand())]
 	j.Service, j.MaxAttempts = j.service.Name, j.route.MaxAttempts
 	j.Expires = now.Add(j.route.Timeout)
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -229,6 +229,7 @@
 	rt := rl.router
 	defer e.Begin()()
 	rl.j.Trace.Set("endpoint", e.ID)
+	rl.j.Trace.Set("version", e.Version)
 	s.LastEventID = rl.lastEventID
 	begun := rt.Clock.Now()
 	resp, err := rt.Sender.Open(ctx, &rl.j.Job, e, s)
--- a/transport/endpoints/discoverer/discoverer.go
+++ b/transport/endpoints/discoverer/discoverer.go
@@ -306,6 +306,6 @@
 		old.copyNotices(next)
 	}
 	eventlogger.Info(d.logs, eventlogger.EndpointListed, "endpoint", ep.ID, "service", ep.Service, "address", ep.Address,
-		"zone", ep.DataCentre, "stage", ep.Stage.String(), "leaving", ep.Leaving, "offset", offset)
+		"zone", ep.DataCentre, "version", ep.Version, "stage", ep.Stage.String(), "leaving", ep.Leaving, "offset", offset)
 	return next
 }
