Show with tests that streams are joined from two software versions

Four scenarios on 3 host processes and 6 decode engines of two versions fail on this code: calm, all hosts killed, the older version gone, both.

--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -183,7 +183,7 @@
 func (e *Endpoint) announce() {
 	e.sequence++
 	entry := map[string]any{
-		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.DataCentre, "version": e.version(), "slots": e.cfg.Slots,
+		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.DataCentre, "version": e.Version(), "slots": e.cfg.Slots,
 		"state": e.state, "coldRemainingMs": 0, "sequence": e.sequence, "born": e.incarnationStart,
 	}
 	if e.stage != "" {
@@ -192,7 +192,8 @@
 	e.store.PutJSON("keyed.servers", e.id, entry)
 }
 
-func (e *Endpoint) version() string {
+// Version returns the version of the software.
+func (e *Endpoint) Version() string {
 	if e.cfg.Version == "" {
 		return "v1"
 	}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,8 +24,12 @@
 	"github.com/hornbeamspan/hornbeamspan/lab/partitioner"
 )
 
-// engineEvents is the number of events of a whole stream.
-const engineEvents = 6
+const (
+	// engineEvents is the number of events of a whole stream.
+	engineEvents = 6
+	// defaultEventInterval is the time between two events of a stream.
+	defaultEventInterval = 5 * time.Millisecond
+)
 
 // fleetReadyTimeout limits the wait until all hosts of a fleet list each other.
 const fleetReadyTimeout = 20 * time.Second
@@ -53,17 +58,27 @@
 	hosts, prefill, decode, plain int
 	// crashes are the parts of prompts that crash engines, nil if there are none.
 	crashes *emulator.Crashes
+	// versions are the software versions of the decode engines, by turns; v1 if empty.
+	versions []string
+	// events and eventInterval describe the streams of engines; zero values stand for engineEvents and defaultEventInterval.
+	events        int
+	eventInterval time.Duration
 }
 
 func startFleet(t *testing.T, n fleetSize) *fleet {
 	f := &fleet{t: t, store: emulator.NewStore(), partition: partitioner.New(), random: rand.New(rand.NewPCG(1, 1)), faulty: make(map[int]bool)}
 	t.Cleanup(f.stop)
 	engine := emulator.Config{
-		Service: "writer", Slots: 16, MemoryTokens: 200_000, Events: engineEvents, EventInterval: 5 * time.Millisecond, StageSwitchTime: 200 * time.Millisecond,
+		Service: "writer", Slots: 16, MemoryTokens: 200_000, Events: cmp.Or(n.events, engineEvents),
+		EventInterval: cmp.Or(n.eventInterval, defaultEventInterval), StageSwitchTime: 200 * time.Millisecond,
 		Crashes: n.crashes, RestartDelay: 1500 * time.Millisecond, EntryLifetime: time.Second,
 	}
+	versions := n.versions
 	add := func(list *[]*emulator.Endpoint, n int, c emulator.Config, name, stage string) {
 		for i := range n {
+			if stage == "decode" && len(versions) > 0 {
+				c.Version = versions[i%len(versions)]
+			}
 			c.ID, c.DataCentre, c.Stage = fmt.Sprintf("%s%d", name, i), fmt.Sprintf("zone-%d", i%2), stage
 			*list = append(*list, emulator.Start(f.store, c))
 		}
--- /dev/null
+++ b/scenarios/versions_test.go
@@ -0,0 +1,243 @@
+package scenarios
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// interruptedStreams is the number of streams that are interrupted in a scenario.
+	interruptedStreams = 40
+	// takeUpTimeout bounds the attempts of a caller to resume its stream.
+	takeUpTimeout = 4 * time.Second
+	// takeUpPause is the time between two attempts of a caller to resume its stream.
+	takeUpPause = 250 * time.Millisecond
+)
+
+// longStreams are the sizes of a fleet whose streams last long enough to be interrupted.
+func longStreams(versions ...string) fleetSize {
+	return fleetSize{hosts: 3, prefill: 2, decode: 6, versions: versions, events: 40, eventInterval: 50 * time.Millisecond}
+}
+
+// openStream is a stream of which the caller has received some events.
+type openStream struct {
+	// id is the ID of the request that brought the first event.
+	id   string
+	body string
+	last int
+	resp *http.Response
+}
+
+func (f *fleet) streamRequest(host int, id, body string) *http.Request {
+	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/scope/x", f.hosts[host].Address), strings.NewReader(body))
+	require.NoError(f.t, err)
+	q.Host = "shop.example"
+	q.Header.Set("Request-Id", id)
+	q.Header.Set("Deadline-Ms", "3000")
+	q.Header.Set("Model", "m")
+	q.Header.Set("Token-Count", "2000,2000")
+	q.Header.Set("Length-Hint", "300")
+	q.Header.Set("Prompt-Prefix", equalPrompts(0))
+	return q
+}
+
+// open begins a stream and reads its first events.
+func (f *fleet) open(host int, id string, events int) (*openStream, bool) {
+	s := &openStream{id: id, body: "prompt of " + id}
+	resp, err := http.DefaultClient.Do(f.streamRequest(host, id, s.body))
+	if err != nil {
+		return nil, false
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, false
+	}
+	s.resp = resp
+	lines := bufio.NewReader(resp.Body)
+	for s.last < events {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return nil, false
+		}
+		if number, ok := strings.CutPrefix(line, "id: "); ok {
+			s.last, _ = strconv.Atoi(strings.TrimSpace(number))
+		}
+	}
+	return s, true
+}
+
+// openMany begins streams at random hosts, all at the same time.
+func (f *fleet) openMany(n int) []*openStream {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var list []*openStream
+	for i := range n {
+		host := f.pickHost()
+		wait.Go(func() {
+			if s, ok := f.open(host, fmt.Sprintf("begun-%d", i), 2); ok {
+				mu.Lock()
+				defer mu.Unlock()
+				list = append(list, s)
+			}
+		})
+	}
+	wait.Wait()
+	return list
+}
+
+// takeUp resumes a stream at random hosts until one goes on with it or refuses it for good. It reports whether the stream ended.
+func (f *fleet) takeUp(s *openStream) bool {
+	for i, end := 0, time.Now().Add(takeUpTimeout); time.Now().Before(end); i++ {
+		q := f.streamRequest(f.pickHost(), fmt.Sprintf("%s-again-%d", s.id, i), s.body)
+		q.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
+		q.Header.Set("Resumes", s.id)
+		resp, err := http.DefaultClient.Do(q)
+		if err != nil {
+			time.Sleep(takeUpPause)
+			continue
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK && err == nil {
+			return true
+		}
+		if after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode != http.StatusServiceUnavailable || after > takeUpTimeout.Seconds() {
+			return false
+		}
+		time.Sleep(takeUpPause)
+	}
+	return false
+}
+
+// takeUpAll interrupts the streams at the callers' side, resumes all of them and returns how many went on.
+func (f *fleet) takeUpAll(streams []*openStream) int {
+	for _, s := range streams {
+		_ = s.resp.Body.Close()
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	n := 0
+	for _, s := range streams {
+		wait.Go(func() {
+			if f.takeUp(s) {
+				mu.Lock()
+				defer mu.Unlock()
+				n++
+			}
+		})
+	}
+	wait.Wait()
+	return n
+}
+
+// joined returns the streams that hold events of more than one software version, as the engines ran them.
+func (f *fleet) joined() []string {
+	begun := make(map[string]string)
+	for _, e := range f.decode {
+		for _, run := range e.Runs() {
+			if run.LastEventID == "" {
+				begun[run.ID] = e.Version()
+			}
+		}
+	}
+	var joined []string
+	for _, e := range f.decode {
+		for _, run := range e.Runs() {
+			id := run.Header.Get("Resumes")
+			if id == "" {
+				id = run.ID
+			}
+			if version := begun[id]; run.LastEventID != "" && version != e.Version() {
+				joined = append(joined, fmt.Sprintf("%s: began at %s, goes on at %s", id, version, e.Version()))
+			}
+		}
+	}
+	return joined
+}
+
+// killAll ends all hosts at once and starts them again.
+func (f *fleet) killAll() {
+	for _, h := range f.hosts {
+		h.Kill()
+	}
+	for _, h := range f.hosts {
+		require.NoError(f.t, h.Restart(context.Background()))
+	}
+	f.awaitReady()
+}
+
+// retire ends the decode engines of a version and removes their entries.
+func (f *fleet) retire(version string) {
+	for _, e := range f.decode {
+		if e.Version() == version {
+			e.RemoveEntry()
+			e.Close()
+		}
+	}
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.GreaterOrEqual(t, 2*n, len(streams), "streams that went on")
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterAllHostsWereKilled(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	time.Sleep(takeUpPause)
+	f.killAll()
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.GreaterOrEqual(t, 2*n, len(streams), "streams that went on")
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterItsOwnHasLeft(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	f.retire("v1")
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.NotZero(t, n, "streams that went on")
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterItsOwnHasLeftAndAllHostsWereKilled(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	time.Sleep(takeUpPause)
+	f.retire("v1")
+	f.killAll()
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.NotZero(t, n, "streams that went on")
+}
+
+func TestStreamsOfAServiceWithOneSoftwareVersionGoOnAfterAllHostsWereKilled(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	f.killAll()
+	assert.GreaterOrEqual(t, 2*f.takeUpAll(streams), len(streams), "streams that went on")
+}
