Place streams that are resumed before new ones

Change: a resumption goes first, is neither deferred nor refused by prediction, and is not taken for the retry of a refusal. It delays new streams by what the interrupted ones take.

--- a/parts/coordination/placer/capacity.go
+++ b/parts/coordination/placer/capacity.go
@@ -13,9 +13,9 @@
 // admissionShare is the share of a request's time to its target after which it can no longer be deferred.
 const admissionShare = 0.125
 
-// isAdmitted reports whether a request has waited too long to be deferred.
+// isAdmitted reports whether a request has waited too long to be deferred, or resumes a stream.
 func (r Request) isAdmitted(now time.Time) bool {
-	return now.Sub(r.Arrived) > fraction(admissionShare, r.FirstEventDeadline.Sub(r.Arrived))
+	return r.IsResumption || now.Sub(r.Arrived) > fraction(admissionShare, r.FirstEventDeadline.Sub(r.Arrived))
 }
 
 // capacity is the throughput of the active engines, computed from measured times.
@@ -102,7 +102,11 @@
 	var tasks []queuer.Task
 	for _, r := range list {
 		if !r.IsLate(now) {
-			tasks = append(tasks, queuer.Task{EngineTime: c.engineTime(r.Job), LatestStart: r.TargetStart, IsAdmitted: r.isAdmitted(now)})
+			latest := r.TargetStart
+			if r.IsResumption {
+				latest = r.LatestStart
+			}
+			tasks = append(tasks, queuer.Task{EngineTime: c.engineTime(r.Job), LatestStart: latest, IsAdmitted: r.isAdmitted(now)})
 		}
 	}
 	isChanged := false
--- a/parts/coordination/placer/placer.go
+++ b/parts/coordination/placer/placer.go
@@ -160,6 +160,10 @@
 // RecordArrival updates the statistics with a new request, and returns it with IsRetry set if it was refused before. A
 // retry keeps the deadline of the first attempt.
 func (p *Placer) RecordArrival(now time.Time, r Request) Request {
+	if r.IsResumption {
+		p.arrivals.Record(now)
+		return r
+	}
 	if refusal, ok := p.refusals[r.Fingerprint]; ok {
 		r.IsRetry, r.FirstEventDeadline = true, refusal.firstEventDeadline
 		delete(p.refusals, r.Fingerprint) // a later request with the same fingerprint is another caller's
--- a/parts/coordination/placer/plan.go
+++ b/parts/coordination/placer/plan.go
@@ -122,7 +122,7 @@
 	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	wait = time.Duration(float64(wait) * (1 + retryJitter*p.random.Float64()))
-	if r.Fingerprint != 0 {
+	if r.Fingerprint != 0 && !r.IsResumption {
 		p.refusals[r.Fingerprint] = pastRefusal{firstEventDeadline: r.FirstEventDeadline, expires: now.Add(wait + retryGrace)}
 	}
 	return Refusal{ID: r.ID, Reason: reason, RetryAfter: wait}
--- a/parts/coordination/placer/search.go
+++ b/parts/coordination/placer/search.go
@@ -98,7 +98,7 @@
 		return s.placeWithoutPrefillEngine(r)
 	}
 	prefilled := s.now.Add(s.prefillLoad.Backlog(s.now, prefill.ID) + s.prefillLoad.PrefillTime(prefill.ID, r.Prompt))
-	if !r.IsLate(s.now) && prefilled.Add(s.startDelay.margin()).After(r.FirstEventDeadline) {
+	if !r.IsResumption && !r.IsLate(s.now) && prefilled.Add(s.startDelay.margin()).After(r.FirstEventDeadline) {
 		return Placement{}, false // already late; requests that can meet their target go first
 	}
 	s.startDelay.predicted[r.ID] = prefilled
@@ -187,7 +187,7 @@
 			best, lowestCost = e, cost
 		}
 	}
-	if best.ID == "" && (r.IsLate(s.now) || slowEngines == usable) {
+	if best.ID == "" && (r.IsResumption || r.IsLate(s.now) || slowEngines == usable) {
 		best = slow
 	}
 	return best, best.ID != ""
--- a/parts/coordination/queuer/queuer.go
+++ b/parts/coordination/queuer/queuer.go
@@ -21,19 +21,25 @@
 	LatestStart time.Time
 	// IsRetry is set if the request was refused before and is retried after the advised time.
 	IsRetry bool
+	// IsResumption is set for a stream that was interrupted: its caller has a part of the answer.
+	IsResumption bool
 }
 
-// IsLate reports whether the target can no longer be met.
-func (i Item) IsLate(now time.Time) bool { return now.After(i.TargetStart) }
+// IsLate reports whether the target can no longer be met. Resumptions count as in time, so that they go before new requests.
+func (i Item) IsLate(now time.Time) bool { return !i.IsResumption && now.After(i.TargetStart) }
 
 // IsExpired reports whether the request can no longer be served.
 func (i Item) IsExpired(now time.Time) bool { return now.After(i.LatestStart) }
 
-// Sort puts items into service order. Items that can meet their target come first, by priority and then by the time left.
+// Sort puts items into service order. Resumptions come first, then the items that can meet their target, by priority and then by
+// the time left.
 // Late items follow, by priority, retries before others, and then by arrival.
 func Sort[T any](now time.Time, items []T, item func(T) Item) {
 	slices.SortStableFunc(items, func(a, b T) int {
 		x, y := item(a), item(b)
+		if first := compareBool(y.IsResumption, x.IsResumption); first != 0 {
+			return first
+		}
 		if late := compareBool(x.IsLate(now), y.IsLate(now)); late != 0 {
 			return late
 		}
--- a/transport/endpoints/dispatcher/dispatcher.go
+++ b/transport/endpoints/dispatcher/dispatcher.go
@@ -120,7 +120,7 @@
 func (r Request) placerRequest(dataCentre string) placer.Request {
 	return placer.Request{
 		Job:        packer.Job{ID: r.ID, Prompt: r.Prompt, Hint: r.Hint, MaxOutput: r.MaxOutput},
-		Item:       queuer.Item{Priority: r.Priority, Arrived: r.Arrived, LatestStart: r.LatestStart},
+		Item:       queuer.Item{Priority: r.Priority, Arrived: r.Arrived, LatestStart: r.LatestStart, IsResumption: r.Version != ""},
 		DataCentre: dataCentre, Fingerprint: r.Fingerprint, FirstEventDeadline: r.FirstEventDeadline, MaxPause: r.MaxPause, Version: r.Version,
 		ExcludedEngines: r.ExcludedEngines,
 	}
