--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 	go test -run xxx -fuzz FuzzDecode -fuzztime 20s ./protocol/encoder
 	go test -run xxx -fuzz FuzzSplit -fuzztime 20s ./protocol/splitter
 	go test -run xxx -fuzz FuzzDecodeRecords -fuzztime 20s ./platform
+	go test -run xxx -fuzz FuzzOddEntry -fuzztime 20s ./platform
+	go test -run xxx -fuzz FuzzConfiguration -fuzztime 20s ./platform
 
 clean:
 	rm -rf $(BIN) out
--- a/parts/coordination/attributor/replay_test.go
+++ b/parts/coordination/attributor/replay_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net/url"
 	"slices"
 	"testing"
 	"time"
@@ -94,7 +93,7 @@
 func (r *replay) end() uint64 { return replicator.Position(r.era, uint64(len(r.log))) }
 
 func (r *replay) append(rec Record, isRemoval bool) {
-	record := replayRecord{key: rec.Key(url.PathEscape), position: r.end()}
+	record := replayRecord{key: rec.Key(), position: r.end()}
 	if !isRemoval {
 		record.value = &rec
 	}
--- a/parts/coordination/attributor/versions.go
+++ b/parts/coordination/attributor/versions.go
@@ -11,6 +11,9 @@
 package attributor
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -86,12 +89,13 @@
 // completeKey is the key of the record that states that the versions are complete.
 const completeKey = "complete"
 
-// Key returns the key of a record in the log. Escape makes a string that has no slash.
-func (r Record) Key(escape func(string) string) string {
+// Key returns the key of a record in the log. It is a hash, as names can be longer than a key.
+func (r Record) Key() string {
 	if r.IsCompletion() {
 		return completeKey
 	}
-	return escape(r.Origin.Service) + "/" + escape(r.Origin.Version)
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d %s%s", len(r.Origin.Service), r.Origin.Service, r.Origin.Version))
+	return hex.EncodeToString(sum[:])
 }
 
 // IsCompletion reports whether the record states that the versions are complete.
--- a/parts/coordination/attributor/versions_test.go
+++ b/parts/coordination/attributor/versions_test.go
@@ -1,7 +1,6 @@
 package attributor
 
 import (
-	"net/url"
 	"testing"
 	"time"
 
@@ -16,7 +15,7 @@
 func origin(version string) Origin { return Origin{Service: "writer", Version: version} }
 
 func apply(vs *Versions, now time.Time, r Record, position uint64) {
-	vs.Apply(now, r.Key(url.PathEscape), &r, position)
+	vs.Apply(now, r.Key(), &r, position)
 }
 
 // listed returns Versions with the given versions recorded at the positions 1 and up, and a completion at 0.
@@ -43,7 +42,7 @@
 
 	incomplete := NewVersions()
 	apply(incomplete, start, Record{Origin: origin("v1")}, 1)
-	incomplete.Listed(start, map[string]bool{"writer/v1": true}, 2)
+	incomplete.Listed(start, map[string]bool{Record{Origin: origin("v1")}.Key(): true}, 2)
 	_, ok = incomplete.Single("writer")
 	assert.False(t, ok, "without a completion")
 
@@ -64,7 +63,7 @@
 	position := replicator.Position(1, 1)
 	apply(vs, start, Record{}, replicator.Position(1, 0))
 	apply(vs, start, Record{Origin: origin("v1")}, position)
-	vs.Listed(start, map[string]bool{"complete": true, "writer/v1": true}, position+1)
+	vs.Listed(start, map[string]bool{"complete": true, Record{Origin: origin("v1")}.Key(): true}, position+1)
 	_, ok := vs.Single("writer")
 	assert.False(t, ok)
 	assert.Equal(t, []string{"v1", "v2"}, vs.Possible("writer"), "a lost version may still have streams")
@@ -74,7 +73,7 @@
 	fresh := NewVersions()
 	apply(fresh, start, Record{}, replicator.Position(1, 0))
 	apply(fresh, start, Record{Origin: origin("v1")}, position)
-	fresh.Listed(start, map[string]bool{"complete": true, "writer/v1": true}, position+1)
+	fresh.Listed(start, map[string]bool{"complete": true, Record{Origin: origin("v1")}.Key(): true}, position+1)
 	_, ok = fresh.Single("writer")
 	assert.False(t, ok, "a host that started after the restore cannot know what was lost")
 	plan := PlanOptions{MayRetire: true}
@@ -116,7 +115,7 @@
 	assert.Empty(t, vs.Plan(begin.Add(retention-1), only, plan))
 	want := Change{Record: Record{Origin: origin("v1"), State: Retiring}, IsRemoval: true, IsConditional: true, End: 10}
 	assert.Equal(t, []Change{want}, vs.Plan(begin.Add(retention), only, plan))
-	vs.Apply(begin.Add(retention), "writer/v1", nil, 10)
+	vs.Apply(begin.Add(retention), Record{Origin: origin("v1")}.Key(), nil, 10)
 	version, ok := vs.Single("writer")
 	assert.True(t, ok)
 	assert.Equal(t, "v2", version)
@@ -141,7 +140,7 @@
 	vs := listed("v1", "v2")
 	vs.Listed(start, map[string]bool{"complete": true}, 1) // from a source that lags behind
 	assert.Equal(t, []string{"v1", "v2"}, vs.Possible("writer"))
-	vs.Apply(start, "writer/v2", nil, 5)
+	vs.Apply(start, Record{Origin: origin("v2")}.Key(), nil, 5)
 	apply(vs, start, Record{Origin: origin("v2")}, 2)
 	assert.Equal(t, []string{"v1"}, vs.Possible("writer"))
 	vs.Listed(start, map[string]bool{"complete": true}, 6)
@@ -150,5 +149,5 @@
 
 func TestTheKeysOfDifferentVersionsDiffer(t *testing.T) {
 	a, b := Record{Origin: Origin{Service: "a/b", Version: "c"}}, Record{Origin: Origin{Service: "a", Version: "b/c"}}
-	assert.NotEqual(t, a.Key(url.PathEscape), b.Key(url.PathEscape))
+	assert.NotEqual(t, a.Key(), b.Key())
 }
--- a/transport/endpoints/discoverer/discoverer.go
+++ b/transport/endpoints/discoverer/discoverer.go
@@ -157,6 +157,14 @@
 	return nil
 }
 
+// Incarnation returns the start of the listed incarnation of an endpoint, zero if it is not listed.
+func (d *Discoverer) Incarnation(id string) time.Time {
+	if ep := d.index.Load().byID[id]; ep != nil {
+		return ep.IncarnationStart
+	}
+	return time.Time{}
+}
+
 // Record applies one record of the topic. An empty value removes the endpoint.
 func (d *Discoverer) Record(r tailer.Record) {
 	d.mu.Lock()
--- a/transport/endpoints/registrar/registrar.go
+++ b/transport/endpoints/registrar/registrar.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,9 +136,6 @@
 	return attributor.Key(d.Sum64())
 }
 
-// recordKey returns the key of a version's record in the log.
-func recordKey(rec attributor.Record) string { return rec.Key(url.PathEscape) }
-
 // Admits reports whether this host may begin streams of a service at a version.
 func (r *Registrar) Admits(service, version string) bool {
 	r.mu.Lock()
--- a/transport/endpoints/registrar/run.go
+++ b/transport/endpoints/registrar/run.go
@@ -175,7 +175,7 @@
 	if c.IsConditional {
 		end = &c.End
 	}
-	key := recordKey(c.Record)
+	key := c.Key()
 	position, err := r.Store.Put(ctx, r.VersionTopic, key, value, end)
 	if err != nil {
 		eventlogger.Warn(r.Logs, eventlogger.VersionRecorded, "service", c.Origin.Service, "version", c.Origin.Version, "error", err.Error())
