Believe a refusal only if it answers this request

Callers of calls that must not run twice were told "not run, try again" for a call that an endpoint had run: the refusal named the request that it belonged to, but that was compared only for other answers. On kept connections an earlier answer, written once more, was taken for that of the next call: a hold counted as refused while its memory stayed reserved, an order as rejected that the engine carried out, an append as failed that had won.

Cause: an answer taken for that of the request because it came after it.

Change: the sender compares the ID of every answer, refusals first. Releases and reports stay on kept connections: an old answer to them is corrected by time.

Ruled out: IDs on control calls, which the platform does not describe. An engine that refuses a request and runs it nevertheless cannot be found out.

--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -306,7 +306,7 @@
 }
 
 func TestAOnceCallWhoseAnswerIsLostIsNotSentAgainAndNotReportedAsNotRun(t *testing.T) {
-	for _, fault := range []emulator.Fault{emulator.LoseAnswer, emulator.Truncate, emulator.WrongRequestID} {
+	for _, fault := range []emulator.Fault{emulator.LoseAnswer, emulator.Truncate, emulator.WrongRequestID, emulator.RepeatRefusal} {
 		r := newRig(t, sizes{hosts: 1, plain: 2})
 		r.configureAndAwait()
 		for _, e := range r.plain {
--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -24,6 +24,8 @@
 	LoseAnswer Fault = "lose"
 	// Refuse answers 503 and states that the request was not run.
 	Refuse Fault = "refuse"
+	// RepeatRefusal runs the request and answers it with the refusal of an earlier one.
+	RepeatRefusal Fault = "repeat"
 	// Fail runs the request and answers 500.
 	Fail Fault = "fail"
 	// Truncate breaks off the answer or stream in the middle.
@@ -154,7 +156,7 @@
 	mux.HandleFunc("POST /api/order", e.order)
 	mux.HandleFunc("/", e.serve)
 	e.server.Store(httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !e.rejectIfPaused(w) {
+		if !e.rejectIfPaused(w, r) {
 			mux.ServeHTTP(w, r)
 		}
 	})))
@@ -298,6 +300,7 @@
 }
 
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if e.answersEarly() {
 		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		http.Error(w, "request body is too large", http.StatusRequestEntityTooLarge)
@@ -381,6 +384,10 @@
 	case ExtraAnswer:
 		writeTwoAnswers(w, id)
 		return
+	case RepeatRefusal:
+		w.Header().Set("Request-Id", "earlier")
+		e.refuse(w, http.StatusServiceUnavailable)
+		return
 	case Garbage, Unframed, CutUnframed, Reset, EndlessHeader, EndlessBody, EndlessEvent, Drip:
 		e.writeRawAnswer(w, r, id, fault)
 		return
--- a/lab/emulator/notice.go
+++ b/lab/emulator/notice.go
@@ -10,7 +10,7 @@
 }
 
 // rejectIfPaused counts an arrival and answers it with 503 if a Retry-After value is set.
-func (e *Endpoint) rejectIfPaused(w http.ResponseWriter) bool {
+func (e *Endpoint) rejectIfPaused(w http.ResponseWriter, r *http.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrivals++
@@ -21,6 +21,7 @@
 	if e.retryAfter == "" {
 		return false
 	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Retry-After", e.retryAfter)
 	e.refuse(w, http.StatusServiceUnavailable)
 	return true
--- a/transport/endpoints/generator/generator.go
+++ b/transport/endpoints/generator/generator.go
@@ -116,7 +116,7 @@
 func New(o Options) *Generator {
 	g := &Generator{
 		options:      o,
-		http:         dialer.New("engines", nil),
+		http:         dialer.NewAtMostOnce("engines", nil),
 		budget:       limiter.Budget{Ratio: retryRatio, MaxSaved: retryBurst},
 		prefixes:     sharder.New[cachedPrefix, int](hashPrefix),
 		latencies:    latencies{handover: initialHandover, step: initialStep},
--- a/transport/endpoints/sender/send.go
+++ b/transport/endpoints/sender/send.go
@@ -116,6 +116,10 @@
 			s.Endpoints.ApplyAnswerLimit(e, a.Notice, sentAt)
 		}
 	}
+	if a.IsForeign { // also a refusal, which then says nothing about this request
+		_ = resp.Body.Close()
+		return nil, s.InvalidAnswer(j, e, "the answer belongs to another request")
+	}
 	if a.NotRun {
 		_ = resp.Body.Close()
 		reason := fmt.Sprintf("refused with %d", resp.StatusCode)
@@ -125,10 +129,6 @@
 		}
 		return nil, s.newSendError(j, e, NotRun, reason)
 	}
-	if a.IsForeign {
-		_ = resp.Body.Close()
-		return nil, s.InvalidAnswer(j, e, "the answer belongs to another request")
-	}
 	return resp, nil
 }
 
