Doubt the origin of streams that began when their endpoint started again

An engine may start again under its ID with another version.

Change: when an endpoint's new incarnation has another version, the host adds that version to the origins of the streams that it began there since shortly before the start. A stream with two origins is of none, at every host. Open: the host that began the stream may end before it sees the new entry.

--- a/lab/emulator/endpoint.go
+++ b/lab/emulator/endpoint.go
@@ -93,7 +93,9 @@
 	LastEventID string
 	// KVSource is the address and handle of the KV cache, as ADDRESS/HANDLE.
 	KVSource string
-	Header   http.Header
+	// Version is that of the endpoint's software.
+	Version string
+	Header  http.Header
 }
 
 // Endpoint serves as a model engine if its Config has a Stage, otherwise as a plain service.
@@ -185,7 +187,7 @@
 func (e *Endpoint) announce() {
 	e.sequence++
 	entry := map[string]any{
-		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.DataCentre, "version": e.Version(), "slots": e.cfg.Slots,
+		"service": e.cfg.Service, "address": e.Address().String(), "zone": e.cfg.DataCentre, "version": e.version(), "slots": e.cfg.Slots,
 		"state": e.state, "coldRemainingMs": 0, "sequence": e.sequence, "born": e.incarnationStart,
 	}
 	if e.stage != "" {
@@ -196,6 +198,12 @@
 
 // Version returns the version of the software.
 func (e *Endpoint) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version()
+}
+
+func (e *Endpoint) version() string {
 	if e.cfg.Version == "" {
 		return "v1"
 	}
@@ -227,6 +235,18 @@
 	e.announce()
 }
 
+// RestartAs begins a new incarnation of the endpoint with the same address and ID, and another version of its software. Its entry
+// is written after a delay; until then the store has that of the incarnation before.
+func (e *Endpoint) RestartAs(version string, entryDelay time.Duration) {
+	e.server.Load().CloseClientConnections()
+	e.mu.Lock()
+	e.cfg.Version, e.sequence = version, 0
+	e.incarnationStart = max(e.incarnationStart+1, time.Now().UnixMilli())
+	e.mu.Unlock()
+	time.Sleep(entryDelay)
+	e.Announce()
+}
+
 // Arrivals returns the number of HTTP requests received, control calls included.
 func (e *Endpoint) Arrivals() int {
 	e.mu.Lock()
@@ -365,7 +385,7 @@
 	e.active[id] = tokens
 	e.runs = append(e.runs, Run{
 		ID: id, Path: r.RequestURI, Body: body, LastEventID: r.Header.Get("Last-Event-Id"), KVSource: r.Header.Get("Kv-Source"),
-		Header: r.Header.Clone(),
+		Version: e.version(), Header: r.Header.Clone(),
 	})
 	e.mu.Unlock()
 	defer func() {
--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamspan/hornbeamspan/lab/launcher"
 )
 
 const (
@@ -82,10 +85,10 @@
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var list []*openStream
-	for i := range n {
+	for range n {
 		host := f.pickHost()
 		wait.Go(func() {
-			if s, ok := f.open(host, fmt.Sprintf("begun-%d", i), 2); ok {
+			if s, ok := f.open(host, fmt.Sprintf("begun-%d", f.lastID.Add(1)), 2); ok {
 				mu.Lock()
 				defer mu.Unlock()
 				list = append(list, s)
@@ -147,7 +150,7 @@
 	for _, e := range f.decode {
 		for _, run := range e.Runs() {
 			if run.LastEventID == "" {
-				begun[run.ID] = e.Version()
+				begun[run.ID] = run.Version
 			}
 		}
 	}
@@ -158,14 +161,27 @@
 			if id == "" {
 				id = run.ID
 			}
-			if version := begun[id]; run.LastEventID != "" && version != e.Version() {
-				joined = append(joined, fmt.Sprintf("%s: began at %s, goes on at %s", id, version, e.Version()))
+			if version := begun[id]; run.LastEventID != "" && version != run.Version {
+				joined = append(joined, fmt.Sprintf("%s: began at %s, goes on at %s", id, version, run.Version))
 			}
 		}
 	}
 	return joined
 }
 
+// versionsOf returns the versions that began streams.
+func (f *fleet) versionsOf(streams []*openStream) map[string]bool {
+	versions := make(map[string]bool)
+	for _, e := range f.decode {
+		for _, run := range e.Runs() {
+			if slices.ContainsFunc(streams, func(s *openStream) bool { return s.id == run.ID }) {
+				versions[run.Version] = true
+			}
+		}
+	}
+	return versions
+}
+
 // killAll ends all hosts at once and starts them again.
 func (f *fleet) killAll() {
 	for _, h := range f.hosts {
@@ -241,3 +257,91 @@
 	f.killAll()
 	assert.GreaterOrEqual(t, 2*f.takeUpAll(streams), len(streams), "streams that went on")
 }
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersionWithThreeOfThem(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2", "v3"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	time.Sleep(takeUpPause)
+	f.killAll()
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.GreaterOrEqual(t, 2*n, len(streams), "streams that went on")
+}
+
+// The log comes back without its newest records when all hosts have been killed: who remembers the second version is gone.
+func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterTheLogLostItsTail(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1"))
+	f.store.Snapshot()
+	for i, e := range f.decode {
+		if i%2 == 0 {
+			e.RestartAs("v2", 0)
+		}
+	}
+	var streams []*openStream
+	require.NoError(t, launcher.Await(t.Context(), fleetReadyTimeout, func() bool { // until streams begin at both versions
+		streams = append(streams, f.openMany(interruptedStreams/4)...)
+		return len(f.versionsOf(streams)) == 2
+	}))
+	for _, h := range f.hosts {
+		h.Kill()
+	}
+	f.store.RestoreSnapshot()
+	f.retire("v2")
+	for _, e := range slices.Concat(f.prefill, f.decode) {
+		if e.Version() == "v1" {
+			e.Announce()
+		}
+	}
+	for _, h := range f.hosts {
+		require.NoError(t, h.Restart(t.Context()))
+	}
+	f.awaitReady()
+	f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersionWhileTheLogIsDown(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	f.store.SetDown(true)
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.GreaterOrEqual(t, 2*n, len(streams), "hosts remember them")
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersionAtAHostThatIsCutOffFromTheOthersOrHasJustJoined(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	streams := f.openMany(interruptedStreams)
+	require.NotEmpty(t, streams)
+	time.Sleep(takeUpPause)
+	f.partition.SetGroup(1, f.hosts[1].Name)
+	f.addHost("front-new")
+	f.only = []int{1, 3}
+	n := f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+	assert.GreaterOrEqual(t, 2*n, len(streams), "streams that went on")
+}
+
+// An engine starts again under its ID with another version, and its entry is late: hosts send streams to it as the old one.
+func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterEnginesReturnedUnderTheirIDs(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, longStreams("v1", "v2"))
+	var wait sync.WaitGroup
+	for _, e := range f.decode {
+		version := map[string]string{"v1": "v2", "v2": "v1"}[e.Version()]
+		wait.Go(func() { e.RestartAs(version, time.Second) })
+	}
+	time.Sleep(takeUpPause)
+	streams := f.openMany(interruptedStreams) // while the entries are old
+	wait.Wait()
+	require.NotEmpty(t, streams)
+	time.Sleep(takeUpPause) // for the new entries
+	f.takeUpAll(streams)
+	assert.Empty(t, f.joined())
+}
--- a/transport/callers/router/dialect.go
+++ b/transport/callers/router/dialect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/dispatcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
 )
@@ -57,9 +58,9 @@
 type Origins interface {
 	// Admits reports whether streams may begin at a software version of a service.
 	Admits(service, version string) bool
-	// Begin registers a stream that begins, before its caller receives any of it. isShared is set if requests for the same route
-	// may go to several services.
-	Begin(k attributor.Key, o attributor.Origin, isShared bool)
+	// Begin registers a stream that begins at an endpoint, before its caller receives any of it. isShared is set if requests for the
+	// same route may go to several services.
+	Begin(k attributor.Key, e enroller.Endpoint, isShared bool)
 	// Resolve returns the origin of a stream of one of some services. The error is a *registrar.UnknownOriginError.
 	Resolve(ctx context.Context, services []string, k attributor.Key) (attributor.Origin, error)
 }
--- a/transport/callers/router/origin.go
+++ b/transport/callers/router/origin.go
@@ -39,10 +39,10 @@
 	return nil
 }
 
-// registerOrigin registers that the stream of j begins, or goes on, at a software version.
-func (rt *Router) registerOrigin(j *job, version string) {
+// registerOrigin registers that the stream of j begins, or goes on, at an endpoint.
+func (rt *Router) registerOrigin(j *job, e *discoverer.Endpoint) {
 	if rt.Origins != nil {
-		rt.Origins.Begin(registrar.Key(j.Fingerprint, j.ID), attributor.Origin{Service: j.Service, Version: version}, len(j.route.Targets) > 1)
+		rt.Origins.Begin(registrar.Key(j.Fingerprint, j.ID), e.Endpoint, len(j.route.Targets) > 1)
 	}
 }
 
--- a/transport/endpoints/discoverer/discoverer.go
+++ b/transport/endpoints/discoverer/discoverer.go
@@ -81,6 +81,8 @@
 	onRemoved func(id string)
 	// onLeaving is called with each endpoint that announces in an answer that it is leaving.
 	onLeaving func(*Endpoint)
+	// onVersionChanged is called with an endpoint that has started again with another version of its software.
+	onVersionChanged func(enroller.Endpoint)
 	// countNotice counts the notices of endpoints by kind.
 	countNotice func(kind string)
 	// onLimit is called with each endpoint whose limit has changed, and whether another host has reported that.
@@ -113,7 +115,7 @@
 	d := &Discoverer{
 		decode: decode, clock: clock, logs: logs, registry: enroller.New(),
 		known: make(map[string]*Endpoint), leaving: make(map[string]leavingMark), ready: make(chan struct{}),
-		onRemoved: func(string) {}, onLeaving: func(*Endpoint) {}, countNotice: func(string) {}, onLimit: func(*Endpoint, bool) {},
+		onRemoved: func(string) {}, onVersionChanged: func(enroller.Endpoint) {}, onLeaving: func(*Endpoint) {}, countNotice: func(string) {}, onLimit: func(*Endpoint, bool) {},
 	}
 	d.index.Store(&index{})
 	return d
@@ -126,6 +128,10 @@
 // first record.
 func (d *Discoverer) OnLeaving(f func(*Endpoint)) { d.onLeaving = f }
 
+// OnVersionChanged sets a callback for each endpoint that has started again under its ID with another version of its software. It
+// must be called before the first record.
+func (d *Discoverer) OnVersionChanged(f func(enroller.Endpoint)) { d.onVersionChanged = f }
+
 // OnLimit sets a callback for each endpoint whose rate limit has changed. It must be called before the first record.
 func (d *Discoverer) OnLimit(f func(ep *Endpoint, isReported bool)) { d.onLimit = f }
 
@@ -308,6 +314,9 @@
 	next := &Endpoint{Endpoint: ep}
 	if old != nil && !old.IncarnationStart.Equal(ep.IncarnationStart) {
 		go d.onRemoved(ep.ID)
+		if old.Version != ep.Version {
+			go d.onVersionChanged(ep)
+		}
 	}
 	if old != nil && old.IncarnationStart.Equal(ep.IncarnationStart) && old.Address == ep.Address {
 		old.UpdateHealth(func(h *ejector.Health) { next.health = *h })
--- a/transport/endpoints/registrar/registrar.go
+++ b/transport/endpoints/registrar/registrar.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/tracker"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
@@ -33,6 +35,10 @@
 	unknownRetryAfter = time.Second
 	// finalRetryAfter is the Retry-After of a refusal that a retry does not change.
 	finalRetryAfter = time.Minute
+	// listDelay is how long after an endpoint's start its entry may arrive here.
+	listDelay = 30 * time.Second
+	// clockSkew is the largest expected difference between the clocks of an endpoint and of this host.
+	clockSkew = 2 * time.Second
 )
 
 // Store reads and writes the platform's log.
@@ -76,6 +82,8 @@
 	unreported map[attributor.Key]bool
 	unstored   map[attributor.Key]bool
 	services   map[string]*serviceState
+	// recent holds, by endpoint, the streams that have begun there since its newest entry may have been written.
+	recent map[string][]beginning
 	// originEnd is the position up to which the topic of origins was read.
 	originEnd uint64
 	// hasUnreported and hasUnstored signal that there is something to report, or to write to the log.
@@ -89,6 +97,12 @@
 	done    chan struct{}
 }
 
+// beginning is a stream that this host has begun.
+type beginning struct {
+	key attributor.Key
+	at  time.Time
+}
+
 // serviceState is the state of a service at the last check.
 type serviceState struct {
 	owner            string
@@ -112,7 +126,7 @@
 	r := &Registrar{
 		Options: o, versions: attributor.NewVersions(), ledger: attributor.NewLedger(),
 		unreported: make(map[attributor.Key]bool), unstored: make(map[attributor.Key]bool),
-		services: make(map[string]*serviceState), hasUnreported: make(chan struct{}, 1), hasUnstored: make(chan struct{}, 1),
+		services: make(map[string]*serviceState), recent: make(map[string][]beginning), hasUnreported: make(chan struct{}, 1), hasUnstored: make(chan struct{}, 1),
 		unknown: o.Scope.Counter("streams_of_unknown_origin"), done: make(chan struct{}),
 	}
 	messenger.Handle(o.Messenger, kindOrigins, r.handleOrigins)
@@ -144,17 +158,47 @@
 	return r.versions.Admits(r.Clock.Now(), o, r.Hosts.HasMajority())
 }
 
-// Begin registers a stream that begins, before its caller receives any of it. isShared is set if requests for the same route
-// may go to several services.
-func (r *Registrar) Begin(k attributor.Key, o attributor.Origin, isShared bool) {
+// Begin registers a stream that begins at an endpoint, before its caller receives any of it. isShared is set if requests for the
+// same route may go to several services.
+func (r *Registrar) Begin(k attributor.Key, e enroller.Endpoint, isShared bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.Clock.Now()
+	recent := slices.DeleteFunc(r.recent[e.ID], func(b beginning) bool { return now.Sub(b.at) > listDelay })
+	r.recent[e.ID] = append(recent, beginning{key: k, at: now})
+	r.add(k, attributor.Origin{Service: e.Service, Version: e.Version}, isShared)
+}
+
+// add registers an origin, and has it reported if others need it. The caller holds mu.
+func (r *Registrar) add(k attributor.Key, o attributor.Origin, isShared bool) {
 	if r.ledger.Add(r.Clock.Now(), k, o) && (isShared || r.isMixed(o.Service)) {
 		r.unreported[k] = true
 		signal(r.hasUnreported)
 	}
 }
 
+// Doubt makes the origins unknown of the streams that began at an endpoint about when it started again, with another version
+// under its ID: they may have begun at either.
+func (r *Registrar) Doubt(e enroller.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.recent[e.ID] {
+		if b.at.After(e.IncarnationStart.Add(-clockSkew)) {
+			r.add(b.key, attributor.Origin{Service: e.Service, Version: e.Version}, true)
+		}
+	}
+	delete(r.recent, e.ID)
+}
+
+// Forget drops what is kept of an endpoint that has left.
+func (r *Registrar) Forget(id string) {
+	if r.Endpoints.Incarnation(id).IsZero() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.recent, id)
+	}
+}
+
 // isMixed reports whether several versions may have begun streams of a service. The caller holds mu.
 func (r *Registrar) isMixed(service string) bool {
 	_, isSingle := r.versions.Single(service)
--- a/transport/endpoints/registrar/registrar_test.go
+++ b/transport/endpoints/registrar/registrar_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -114,6 +115,26 @@
 	return len(l.records[topic])
 }
 
+// origins returns the number of origins of a stream in the log.
+func (l *fakeLog) origins(k attributor.Key) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := make(map[attributor.Origin]bool)
+	for _, r := range l.records[originTopic] {
+		streams, _ := decodeOrigins(r.Value)
+		for o, keys := range streams {
+			found[o] = found[o] || slices.Contains(keys, k)
+		}
+	}
+	n := 0
+	for _, ok := range found {
+		if ok {
+			n++
+		}
+	}
+	return n
+}
+
 type fakeHosts struct {
 	mu    sync.Mutex
 	self  string
@@ -186,6 +207,10 @@
 	return attributor.Origin{Service: "writer", Version: version}
 }
 
+func endpointOf(version string) enroller.Endpoint {
+	return enroller.Endpoint{ID: "e", Service: "writer", Version: version, IncarnationStart: time.Now().Add(-time.Minute)}
+}
+
 func eventually(t *testing.T, what string, check func() bool) {
 	t.Helper()
 	require.Eventually(t, check, 5*time.Second, 5*time.Millisecond, what)
@@ -211,7 +236,7 @@
 	n := newNode(t, "a", log, "v1")
 	eventually(t, "the version recorded", func() bool { return n.Admits("writer", "v1") })
 	for k := range attributor.Key(100) {
-		n.Begin(k+1, origin("v1"), false)
+		n.Begin(k+1, endpointOf("v1"), false)
 	}
 	time.Sleep(3 * storeInterval)
 	assert.Zero(t, log.count(originTopic))
@@ -229,8 +254,8 @@
 		n.setOwner(owner)
 	}
 	eventually(t, "the versions recorded", func() bool { return other.Admits("writer", "v1") && other.Admits("writer", "v2") })
-	other.Begin(1, origin("v1"), false)
-	other.Begin(2, origin("v2"), false)
+	other.Begin(1, endpointOf("v1"), false)
+	other.Begin(2, endpointOf("v2"), false)
 	eventually(t, "the origins in the log", func() bool { return log.count(originTopic) > 0 })
 	for k, version := range map[attributor.Key]string{1: "v1", 2: "v2"} {
 		o, err := third.resolve(k)
@@ -255,7 +280,7 @@
 	n.setOwner(owner)
 	eventually(t, "the versions recorded", func() bool { return n.Admits("writer", "v2") })
 	owner.stop()
-	n.Begin(1, origin("v1"), false)
+	n.Begin(1, endpointOf("v1"), false)
 	eventually(t, "the origin in the log", func() bool { return log.count(originTopic) > 0 })
 }
 
@@ -263,7 +288,7 @@
 	log := newLog()
 	n := newNode(t, "a", log, "v1")
 	eventually(t, "the version recorded", func() bool { return n.Admits("writer", "v1") })
-	n.Begin(1, origin("v1"), false)
+	n.Begin(1, endpointOf("v1"), false)
 	n.Endpoints.Put(enroller.Endpoint{ID: "new", Service: "writer", Version: "v2", Address: netip.MustParseAddrPort("127.0.0.1:2")}, 100)
 	eventually(t, "the second version recorded", func() bool { return n.Admits("writer", "v2") })
 	eventually(t, "the origin in the log", func() bool { return log.count(originTopic) > 0 })
@@ -287,7 +312,7 @@
 	_, err = n.resolve(1)
 	require.ErrorAs(t, err, &unknown)
 	assert.Equal(t, unknownRetryAfter, unknown.RetryAfter)
-	n.Begin(2, origin("v1"), false)
+	n.Begin(2, endpointOf("v1"), false)
 	o, err := n.resolve(2)
 	require.NoError(t, err)
 	assert.Equal(t, origin("v1"), o, "known without the log")
@@ -327,7 +352,7 @@
 	log := newLog()
 	n := newNode(t, "a", log, "v1")
 	eventually(t, "the version recorded", func() bool { return n.Admits("writer", "v1") })
-	n.Begin(1, origin("v1"), true)
+	n.Begin(1, endpointOf("v1"), true)
 	_, err := n.Resolve(context.Background(), []string{"reader"}, 1)
 	var unknown *UnknownOriginError
 	require.ErrorAs(t, err, &unknown)
@@ -337,3 +362,25 @@
 	require.NoError(t, err)
 	assert.Equal(t, origin("v1"), o)
 }
+
+func TestAStreamThatBeganWhenItsEndpointStartedAgainWithAnotherVersionHasNoOrigin(t *testing.T) {
+	log := newLog()
+	n := newNode(t, "a", log, "v1", "v2")
+	eventually(t, "the versions recorded", func() bool { return n.Admits("writer", "v1") && n.Admits("writer", "v2") })
+	n.Begin(1, endpointOf("v1"), false)
+	again := endpointOf("v2")
+	again.IncarnationStart = time.Now().Add(time.Minute) // the clocks differ, but not by that much
+	n.Doubt(again)
+	_, err := n.resolve(1)
+	require.NoError(t, err, "begun long before")
+
+	n.Begin(2, endpointOf("v1"), false)
+	again.IncarnationStart = time.Now()
+	n.Doubt(again)
+	var unknown *UnknownOriginError
+	_, err = n.resolve(2)
+	require.ErrorAs(t, err, &unknown)
+	eventually(t, "both origins in the log", func() bool { return log.origins(2) == 2 })
+	_, err = newNode(t, "b", log, "v1", "v2").resolve(2)
+	require.ErrorAs(t, err, &unknown)
+}
--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -221,7 +221,11 @@
 		RequestLimit: endpointCrashLimit, PartLimit: endpointCrashLimit, Retention: suspectRetention, ContactTime: cfg.ContactTime, Hosts: rh.gossiper, Messenger: rh.messenger,
 		Clock: clock, Random: rh.newRand("isolator", incarnation), Logs: logs,
 	})
-	rh.endpoints.OnRemoved(rh.isolator.RecordEnd)
+	rh.endpoints.OnRemoved(func(id string) {
+		rh.isolator.RecordEnd(id)
+		rh.registrar.Forget(id)
+	})
+	rh.endpoints.OnVersionChanged(rh.registrar.Doubt)
 	rh.endpoints.SetMetrics(rh.meter.Scope)
 	cfg.Engines.SetEndpoints(rh.endpoints)
 	rh.stageSwitcher = stageswitcher.New(stageswitcher.Options{
