--- a/transport/endpoints/registrar/run.go
+++ b/transport/endpoints/registrar/run.go
@@ -24,7 +24,7 @@
 	reportInterval = 10 * time.Millisecond
 	// storeInterval is the shortest time between two writes of origins. What began since the last one is lost if all hosts lose
 	// power.
-	storeInterval = 100 * time.Millisecond
+	storeInterval = 250 * time.Millisecond
 	// writeTimeout bounds one write to the log.
 	writeTimeout = 2 * time.Second
 	// reportTimeout bounds one report to an owner.
