Refuse a doubted stream also while the log knows one version

A stream whose endpoint returned under its ID with another version had two origins, but while the new version was not in the log yet the list still proved that there was only one, and the stream went on at it. What is known of the stream itself goes before the list.

Failed before: TestADoubtedStreamIsNotOfTheOnlyVersionInTheLog.

--- a/parts/coordination/attributor/ledger.go
+++ b/parts/coordination/attributor/ledger.go
@@ -56,6 +56,9 @@
 	return Origin{}, false
 }
 
+// IsDoubtful reports whether several origins were added for a stream.
+func (l *Ledger) IsDoubtful(k Key) bool { return len(l.Origins(k)) > 1 }
+
 // Origins returns all origins that were added for a stream.
 func (l *Ledger) Origins(k Key) []Origin {
 	if e := l.byKey[k]; e != nil {
--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -205,21 +205,24 @@
 	}
 }
 
-func TestNoStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+// startStreams starts a fleet with decode engines of some versions, and streams to be interrupted.
+func startStreams(t *testing.T, versions ...string) (*fleet, []*openStream) {
 	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2"))
+	f := startFleet(t, longStreams(versions...))
 	streams := f.openMany(interruptedStreams)
 	require.NotEmpty(t, streams)
+	return f, streams
+}
+
+func TestNoStreamGoesOnAtAnotherSoftwareVersion(t *testing.T) {
+	f, streams := startStreams(t, "v1", "v2")
 	n := f.takeUpAll(streams)
 	assert.Empty(t, f.joined())
 	assert.GreaterOrEqual(t, 2*n, len(streams), "streams that went on")
 }
 
 func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterAllHostsWereKilled(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1", "v2")
 	time.Sleep(recordTime)
 	f.killAll()
 	n := f.takeUpAll(streams)
@@ -228,10 +231,7 @@
 }
 
 func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterItsOwnHasLeft(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1", "v2")
 	f.retire("v1")
 	n := f.takeUpAll(streams)
 	assert.Empty(t, f.joined())
@@ -239,10 +239,7 @@
 }
 
 func TestNoStreamGoesOnAtAnotherSoftwareVersionAfterItsOwnHasLeftAndAllHostsWereKilled(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1", "v2")
 	time.Sleep(recordTime)
 	f.retire("v1")
 	f.killAll()
@@ -252,19 +249,13 @@
 }
 
 func TestStreamsOfAServiceWithOneSoftwareVersionGoOnAfterAllHostsWereKilled(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1")
 	f.killAll()
 	assert.GreaterOrEqual(t, 2*f.takeUpAll(streams), len(streams), "streams that went on")
 }
 
 func TestNoStreamGoesOnAtAnotherSoftwareVersionWithThreeOfThem(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2", "v3"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1", "v2", "v3")
 	time.Sleep(recordTime)
 	f.killAll()
 	n := f.takeUpAll(streams)
@@ -306,10 +297,7 @@
 }
 
 func TestNoStreamGoesOnAtAnotherSoftwareVersionWhileTheLogIsDown(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1", "v2")
 	f.store.SetDown(true)
 	n := f.takeUpAll(streams)
 	assert.Empty(t, f.joined())
@@ -317,10 +305,7 @@
 }
 
 func TestNoStreamGoesOnAtAnotherSoftwareVersionAtAHostThatIsCutOffFromTheOthersOrHasJustJoined(t *testing.T) {
-	t.Parallel()
-	f := startFleet(t, longStreams("v1", "v2"))
-	streams := f.openMany(interruptedStreams)
-	require.NotEmpty(t, streams)
+	f, streams := startStreams(t, "v1", "v2")
 	time.Sleep(recordTime)
 	f.partition.SetGroup(1, f.hosts[1].Name)
 	f.addHost("front-new")
--- a/transport/callers/router/origin_test.go
+++ b/transport/callers/router/origin_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -25,9 +24,6 @@
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/registrar"
-	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
-	"github.com/hornbeamspan/hornbeamspan/transport/hosts/isolator"
-	"github.com/hornbeamspan/hornbeamspan/transport/hosts/messenger"
 )
 
 // resumingDialect reads what a caller resumes.
@@ -83,14 +79,7 @@
 	}
 	rt := New(Options{
 		Dialect: resumingDialect{}, Clock: clock, Scope: tally.NoopScope, Logs: logs, Origins: &fakeOrigins{begun: make(map[attributor.Key]attributor.Origin)},
-		Sender: sender.New(sender.Options{
-			Dialect: resumingDialect{}, Endpoints: list, Hosts: func() int { return 1 },
-			Retry: sender.RetryBudget{Ratio: 1, Allowance: 100, Window: time.Minute},
-			Isolator: isolator.New(isolator.Options{
-				RequestLimit: 3, PartLimit: 3, Retention: time.Minute, Random: rand.New(rand.NewPCG(2, 1)), Hosts: alone{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
-			}),
-			Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: logs, Scope: tally.NoopScope,
-		}),
+		Sender: newSender(resumingDialect{}, list),
 	})
 	route := matcher.Route{
 		Name: "r", Host: "shop", Prefix: "/", Kind: matcher.Stream, Timeout: 5 * time.Second, MaxAttempts: 6, Resumable: true,
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -173,6 +173,18 @@
 	isComplete bool
 }
 
+func newSender(dialect sender.Dialect, list *discoverer.Discoverer) *sender.Sender {
+	clock, logs := clockwork.NewRealClock(), hclog.NewNullLogger()
+	return sender.New(sender.Options{
+		Dialect: dialect, Endpoints: list, Hosts: func() int { return 1 },
+		Retry: sender.RetryBudget{Ratio: 1, Allowance: 10, Window: time.Minute},
+		Isolator: isolator.New(isolator.Options{
+			RequestLimit: 3, PartLimit: 3, Retention: time.Minute, Random: rand.New(rand.NewPCG(2, 1)), Hosts: alone{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
+		}),
+		Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: logs, Scope: tally.NoopScope,
+	})
+}
+
 // callStream sends a stream through a router with three endpoints that the engine serves.
 func callStream(t *testing.T, engine *rawEngine, isResumable bool) callerView {
 	clock, logs := clockwork.NewRealClock(), hclog.NewNullLogger()
@@ -187,14 +199,7 @@
 	}
 	rt := New(Options{
 		Dialect: lastEventDialect{}, Clock: clock, Scope: tally.NoopScope, Logs: logs,
-		Sender: sender.New(sender.Options{
-			Dialect: lastEventDialect{}, Endpoints: list, Hosts: func() int { return 1 },
-			Retry: sender.RetryBudget{Ratio: 1, Allowance: 10, Window: time.Minute},
-			Isolator: isolator.New(isolator.Options{
-				RequestLimit: 3, PartLimit: 3, Retention: time.Minute, Random: rand.New(rand.NewPCG(2, 1)), Hosts: alone{}, Messenger: messenger.New("key", logs, tally.NoopScope), Clock: clock, Logs: logs,
-			}),
-			Clock: clock, Random: rand.New(rand.NewPCG(1, 1)), Logs: logs, Scope: tally.NoopScope,
-		}),
+		Sender: newSender(lastEventDialect{}, list),
 	})
 	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/transport/endpoints/registrar/registrar_test.go
+++ b/transport/endpoints/registrar/registrar_test.go
@@ -384,3 +384,22 @@
 	_, err = newNode(t, "b", log, "v1", "v2").resolve(2)
 	require.ErrorAs(t, err, &unknown)
 }
+
+// Its new version is not in the log yet, so that the old one seems to be the only one.
+func TestADoubtedStreamIsNotOfTheOnlyVersionInTheLog(t *testing.T) {
+	log := newLog()
+	owner, other := newNode(t, "a", log, "v1"), newNode(t, "b", log, "v1")
+	other.setOwner(owner)
+	eventually(t, "the version recorded", func() bool { return other.Admits("writer", "v1") })
+	other.Begin(1, endpointOf("v1"), false)
+	again := endpointOf("v2")
+	again.IncarnationStart = time.Now()
+	other.Doubt(again)
+	var unknown *UnknownOriginError
+	_, err := other.resolve(1)
+	require.ErrorAs(t, err, &unknown)
+	eventually(t, "the doubt at the owner", func() bool {
+		_, err := owner.resolve(1)
+		return errors.As(err, &unknown)
+	})
+}
--- a/transport/endpoints/registrar/resolve.go
+++ b/transport/endpoints/registrar/resolve.go
@@ -15,9 +15,9 @@
 
 const (
 	// ownerTimeout bounds a request to the owner of a service, which may read the log.
-	ownerTimeout = 400 * time.Millisecond
+	ownerTimeout = 300 * time.Millisecond
 	// readTimeout bounds the reads of the log for one stream.
-	readTimeout = time.Second
+	readTimeout = 500 * time.Millisecond
 	// maxReads bounds the reads of the topic of origins one after another; each returns up to a megabyte.
 	maxReads = 16
 )
@@ -31,6 +31,9 @@
 	if o, ok := r.findOne(services, k); ok {
 		return o, nil
 	}
+	if r.isDoubtful(k) {
+		return attributor.Origin{}, r.unknownOrigin(nil)
+	}
 	for _, service := range services {
 		owner, isOwn := r.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
 		if isOwn {
@@ -79,6 +82,12 @@
 	return attributor.Origin{}, false
 }
 
+func (r *Registrar) isDoubtful(k attributor.Key) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.IsDoubtful(k)
+}
+
 // resolve reads the log for the origin of a stream. It returns false without an error if the log does not tell it.
 func (r *Registrar) resolve(ctx context.Context, services []string, k attributor.Key) (attributor.Origin, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -86,6 +95,9 @@
 	if err := r.versionReads.do(ctx, r.readVersions); err != nil {
 		return attributor.Origin{}, false, err
 	}
+	if r.isDoubtful(k) {
+		return attributor.Origin{}, false, nil
+	}
 	if len(services) == 1 {
 		r.mu.Lock()
 		version, ok := r.versions.Single(services[0])
