Take the services with streams from the routing table itself

They were stored after the table was set, so a host that was asked in between could count as ready before it knew which services have streams.

--- a/transport/hostrunner/routing.go
+++ b/transport/hostrunner/routing.go
@@ -161,8 +161,8 @@
 	endpointTopic *relayer.Topic
 	versionTopic  *relayer.Topic
 	registrar     *registrar.Registrar
-	// streamServices are the services of routes with streams.
-	streamServices  atomic.Pointer[[]string]
+	// streamServices are the services with streams of the routing table that was asked for last.
+	streamServices  atomic.Pointer[streamServices]
 	router          *router.Router
 	listeners       []*listener.Listener
 	callersListener *listener.Listener
@@ -273,8 +273,6 @@
 	if !rh.router.SetTable(t) {
 		return false
 	}
-	services := t.StreamServices()
-	rh.streamServices.Store(&services)
 	rh.callersListener.SetLimits(listener.Limits{
 		HeaderBytes: t.Limits.MaxHeaderBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout,
 	})
@@ -289,11 +287,23 @@
 	return errBefore != nil || err != nil || before != now
 }
 
+// streamServices are the services of a table's routes with streams.
+type streamServices struct {
+	table *matcher.Table
+	names []string
+}
+
 func (rh *RoutingHost) servicesWithStreams() []string {
-	if services := rh.streamServices.Load(); services != nil {
-		return *services
+	t := rh.router.Table()
+	if t == nil {
+		return nil
 	}
-	return nil
+	services := rh.streamServices.Load()
+	if services == nil || services.table != t {
+		services = &streamServices{table: t, names: t.StreamServices()}
+		rh.streamServices.Store(services)
+	}
+	return services.names
 }
 
 // service returns the configuration of a service, and false if there is none.
