--- a/transport/endpoints/dispatcher/scheduler.go
+++ b/transport/endpoints/dispatcher/scheduler.go
@@ -282,6 +282,17 @@
 	return list
 }
 
+// admittedVersions returns the software versions of engines at which streams may begin.
+func (s *scheduler) admittedVersions(engines []*discoverer.Endpoint) map[string]bool {
+	admitted := make(map[string]bool)
+	for _, e := range engines {
+		if _, ok := admitted[e.Version]; !ok {
+			admitted[e.Version] = s.dispatcher.Admits == nil || s.dispatcher.Admits(s.service, e.Version)
+		}
+	}
+	return admitted
+}
+
 // updateEngines passes the listed engines on to the placer. It returns false for services without engines. The caller
 // holds mu.
 func (s *scheduler) updateEngines(now time.Time) (matcher.Engine, bool) {
@@ -290,11 +301,12 @@
 		return matcher.Engine{}, false
 	}
 	listed := s.dispatcher.Endpoints.Service(s.service)
+	admitted := s.admittedVersions(listed)
 	engines := make([]placer.Engine, 0, len(listed))
 	for _, e := range listed {
 		engine := placer.Engine{
 			ID: e.ID, DataCentre: e.DataCentre, IsPrefill: e.Stage == enroller.Prefill, IsExcluded: e.IsEjected(now) || e.IsPaused(now),
-			IsFailing: e.IsFailing(), Version: e.Version, IsUnadmitted: s.dispatcher.Admits != nil && !s.dispatcher.Admits(s.service, e.Version),
+			IsFailing: e.IsFailing(), Version: e.Version, IsUnadmitted: !admitted[e.Version],
 		}
 		if s.isLimited(e) {
 			allowance, limit := s.dispatcher.Permits.Allowance(e)
