Write the first origins after a pause at once

Change: 100 ms between two writes again in place of 250, and no wait for the first one after a pause. It costs some 6 store calls a second more while a service has several versions.

--- a/transport/endpoints/registrar/run.go
+++ b/transport/endpoints/registrar/run.go
@@ -24,7 +24,9 @@
 	reportInterval = 10 * time.Millisecond
 	// storeInterval is the shortest time between two writes of origins. What began since the last one is lost if all hosts lose
 	// power.
-	storeInterval = 250 * time.Millisecond
+	storeInterval = 100 * time.Millisecond
+	// storeDelay is the time in which origins are collected for one write.
+	storeDelay = 10 * time.Millisecond
 	// writeTimeout bounds one write to the log.
 	writeTimeout = 2 * time.Second
 	// reportTimeout bounds one report to an owner.
@@ -282,22 +284,22 @@
 	return wire.Empty{}, nil
 }
 
-// runStore writes the origins of streams to the log.
+// runStore writes the origins of streams to the log, the first ones after a pause at once.
 func (r *Registrar) runStore(ctx context.Context) {
-	delay := storeInterval
+	var lastWrite time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.hasUnstored:
 		}
-		if !r.sleep(ctx, delay) {
+		if !r.sleep(ctx, max(storeDelay, storeInterval-r.Clock.Since(lastWrite))) {
 			return
 		}
-		delay = storeInterval
+		lastWrite = r.Clock.Now()
 		if err := r.store(ctx); err != nil && ctx.Err() == nil {
 			eventlogger.Warn(r.Logs, eventlogger.OriginsNotStored, "error", err.Error())
-			delay = takeoverDelay
+			r.sleep(ctx, takeoverDelay)
 		}
 	}
 }
