One function for the owner of a service, independent of failures to answer

Dispatcher, permitter and registrar each had the same predicate and key beside StableOwner; the registrar marked origins as unstored in two equal loops. No change of behaviour.

--- a/transport/endpoints/dispatcher/owner.go
+++ b/transport/endpoints/dispatcher/owner.go
@@ -37,12 +37,9 @@
 	return owner, isOwn
 }
 
-// isNeverUnresponsive makes the choice of an owner independent of which hosts have failed to answer.
-func isNeverUnresponsive(string) bool { return false }
-
 // isSubstitute reports whether owner replaces an unresponsive one.
 func (d *Dispatcher) isSubstitute(service string, owner tracker.Member) bool {
-	regular, _ := d.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
+	regular, _ := permitter.Owner(d.Hosts, service)
 	return regular.Name != owner.Name
 }
 
@@ -66,7 +63,7 @@
 
 // isOwner reports whether this host places the generations of a service for all hosts.
 func (d *Dispatcher) isOwner(service string) bool {
-	_, isOwn := d.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
+	_, isOwn := permitter.Owner(d.Hosts, service)
 	return isOwn && d.Hosts.HasMajority()
 }
 
--- a/transport/endpoints/permitter/permitter.go
+++ b/transport/endpoints/permitter/permitter.go
@@ -157,11 +157,18 @@
 	return s
 }
 
-func isNeverUnresponsive(string) bool { return false }
+// Owner returns the host that owns a service, and whether it is this one. The choice does not depend on which hosts have failed
+// to answer.
+func Owner(hosts interface {
+	StableOwner(key string, isUnresponsive func(name string) bool) (tracker.Member, bool)
+}, service string,
+) (tracker.Member, bool) {
+	return hosts.StableOwner(OwnerKey(service), func(string) bool { return false })
+}
 
 // standing returns the position of this host among those that share the limits of a service.
 func (p *Permitter) standing(name string) throttler.Standing {
-	_, isOwn := p.Hosts.StableOwner(OwnerKey(name), isNeverUnresponsive)
+	_, isOwn := Owner(p.Hosts, name)
 	return throttler.Standing{IsOwner: isOwn && p.Hosts.HasMajority(), Hosts: p.MaxHosts(), Unreachable: p.Hosts.Unreachable()}
 }
 
@@ -218,7 +225,7 @@
 // request obtains a permit from the owner of the service, or from this host's share if the owner does not answer. Without a
 // permit it returns the time until the next one. The source is that of the permit.
 func (p *Permitter) request(ctx context.Context, name string, candidates []*discoverer.Endpoint, maxWait time.Duration) (ep *discoverer.Endpoint, wait time.Duration, source string) {
-	owner, isOwn := p.Hosts.StableOwner(OwnerKey(name), isNeverUnresponsive)
+	owner, isOwn := Owner(p.Hosts, name)
 	if !isOwn && p.mayAsk(owner.Name) {
 		answer, err := p.askOwner(ctx, owner, name, candidates, maxWait)
 		switch {
--- a/transport/endpoints/permitter/report.go
+++ b/transport/endpoints/permitter/report.go
@@ -75,7 +75,7 @@
 		return
 	}
 	if !isOwner {
-		if owner, isOwn := p.Hosts.StableOwner(OwnerKey(name), isNeverUnresponsive); !isOwn {
+		if owner, isOwn := Owner(p.Hosts, name); !isOwn {
 			p.send(owner.Address, report)
 		}
 		return
--- a/transport/endpoints/registrar/resolve.go
+++ b/transport/endpoints/registrar/resolve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
@@ -35,7 +36,7 @@
 		return attributor.Origin{}, r.unknownOrigin(nil)
 	}
 	for _, service := range services {
-		owner, isOwn := r.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
+		owner, isOwn := permitter.Owner(r.Hosts, service)
 		if isOwn {
 			continue
 		}
@@ -66,18 +67,13 @@
 	return &UnknownOriginError{Reason: "the version that began it is not known", RetryAfter: finalRetryAfter}
 }
 
-func isNeverUnresponsive(string) bool { return false }
-
 // findOne returns the origin in memory, if it is one of some services.
 func (r *Registrar) findOne(services []string, k attributor.Key) (attributor.Origin, bool) {
 	if k == 0 {
 		return attributor.Origin{}, false
 	}
-	o, ok := r.find(k)
-	for _, service := range services {
-		if ok && o.Service == service {
-			return o, true
-		}
+	if o, ok := r.find(k); ok && slices.Contains(services, o.Service) {
+		return o, true
 	}
 	return attributor.Origin{}, false
 }
--- a/transport/endpoints/registrar/run.go
+++ b/transport/endpoints/registrar/run.go
@@ -132,7 +132,7 @@
 	owned := make(map[string]bool)
 	listed := make(map[attributor.Origin]bool)
 	for _, service := range r.Services() {
-		_, owned[service] = r.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
+		_, owned[service] = permitter.Owner(r.Hosts, service)
 		for _, e := range r.Endpoints.Service(service) {
 			if e.Version != "" {
 				listed[attributor.Origin{Service: service, Version: e.Version}] = true
@@ -210,7 +210,7 @@
 // have several origins, and when the log has lost records.
 func (r *Registrar) checkServices() {
 	for _, service := range r.Services() {
-		owner, _ := r.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
+		owner, _ := permitter.Owner(r.Hosts, service)
 		r.mu.Lock()
 		last := r.services[service]
 		if last == nil {
@@ -231,7 +231,7 @@
 // report sends what is unreported. What an owner does not take is written to the log by this host.
 func (r *Registrar) report(ctx context.Context) {
 	for service, streams := range r.takeUnreported() {
-		owner, isOwn := r.Hosts.StableOwner(permitter.OwnerKey(service), isNeverUnresponsive)
+		owner, isOwn := permitter.Owner(r.Hosts, service)
 		if !isOwn {
 			bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 			err := messenger.Notify(bounded, r.Messenger, owner.Address, kindOrigins, encoder.Origins(streams))
@@ -240,13 +240,7 @@
 				continue
 			}
 		}
-		r.mu.Lock()
-		for _, keys := range streams {
-			for _, k := range keys {
-				r.addUnstored(k)
-			}
-		}
-		r.mu.Unlock()
+		r.addAllUnstored(streams)
 	}
 }
 
@@ -318,6 +312,12 @@
 	if _, err = r.Store.Put(ctx, r.OriginTopic, "", value, nil); err == nil {
 		return nil
 	}
+	r.addAllUnstored(streams)
+	return err
+}
+
+// addAllUnstored marks streams whose origins are to be written to the log.
+func (r *Registrar) addAllUnstored(streams map[attributor.Origin][]attributor.Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, keys := range streams {
@@ -325,7 +325,6 @@
 			r.addUnstored(k)
 		}
 	}
-	return err
 }
 
 // takeUnstored returns origins that are not in the log, and marks them as stored.
