Read the rest of a refused body before the connection is closed

Callers saw: a connection reset in place of a refusal, such as 413 for a body over the limit, if they ask to close the connection after the answer or speak HTTP/1.0.

Cause: for such requests net/http closes the socket without reading the rest of the body; the kernel answers unread bytes with a reset, which can overtake the answer. Class: an answer before its request has been read. For connections that stay open, net/http reads up to 256 KB itself.

The new test sends the body in two halves and failed in three of its four cases before (broken pipe); the fourth, a kept connection, passed before.

Change: the listener reads up to 256 KB of what is left, for 1 s at most; beyond that the server lingers for 500 ms as after any body over a limit. Requests that expect 100-continue are left out: their body was not asked for.

--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -208,6 +208,8 @@
 	body     string
 	complete bool
 	refused  bool
+	// err is the reason for a missing status.
+	err error
 }
 
 var requests int
@@ -232,7 +234,7 @@
 func (r *rig) send(q *http.Request) reply {
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
 	if err != nil {
-		return reply{}
+		return reply{err: err}
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
@@ -432,7 +434,8 @@
 func TestABodyOverTheLimitIsRefusedAndNotForwarded(t *testing.T) {
 	r := newRig(t, sizes{hosts: 1, plain: 1})
 	r.configureAndAwait()
-	assert.Equal(t, http.StatusRequestEntityTooLarge, r.call(0, http.MethodPost, "/submit/", strings.Repeat("x", 1<<16+1)).status)
+	got := r.call(0, http.MethodPost, "/submit/", strings.Repeat("x", 1<<16+1))
+	assert.Equal(t, http.StatusRequestEntityTooLarge, got.status, "%v", got.err)
 	assert.Zero(t, r.plain[0].RequestCount())
 }
 
--- a/transport/callers/listener/listener.go
+++ b/transport/callers/listener/listener.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -35,6 +36,10 @@
 	acceptRetryDelay = 5 * time.Millisecond
 	// forceQuitDelay is practically unlimited: go-zero would otherwise end the process after SIGTERM while streams are open.
 	forceQuitDelay = 10 * 365 * 24 * time.Hour
+	// maxUnreadBytes bounds what is read of a body that the handler has left unread.
+	maxUnreadBytes = 256 << 10
+	// unreadBodyTimeout bounds how long that is waited for.
+	unreadBodyTimeout = time.Second
 )
 
 // Limits bound the headers and the idle time of connections. 0 means the default.
@@ -106,13 +111,26 @@
 		for prefix, h := range o.Subtrees {
 			if strings.HasPrefix(r.URL.Path, prefix) {
 				h(w, r)
+				discardUnread(w, r, o.Clock)
 				return
 			}
 		}
 		routes.Serve(w, r)
+		discardUnread(w, r, o.Clock)
 	}), nil
 }
 
+// discardUnread reads what the handler has left of a body. Otherwise, the kernel may reset the connection before the caller
+// has the answer. The server itself does so only for connections that stay open.
+func discardUnread(w http.ResponseWriter, r *http.Request, clock clockwork.Clock) {
+	if !r.Close || r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(clock.Now().Add(unreadBodyTimeout))
+	// Beyond its limit, MaxBytesReader makes the server wait before it closes the connection.
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxUnreadBytes))
+}
+
 // Listen opens the socket and starts to serve.
 func Listen(o Options) (*Listener, error) {
 	if o.Clock == nil {
--- a/transport/callers/listener/listener_test.go
+++ b/transport/callers/listener/listener_test.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -159,3 +160,55 @@
 		require.Equal(t, conn, accepted)
 	}
 }
+
+// The server closed such a connection with unread bytes, the kernel reset it, and some callers never saw the refusal.
+func TestACallerThatClosesItsConnectionAfterTheAnswerGetsARefusalOfABodyThatIsNotRead(t *testing.T) {
+	l := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "request body too large", http.StatusRequestEntityTooLarge)
+	})
+	for _, c := range []struct {
+		name, version, header string
+		size                  int
+	}{
+		{name: "connection closed by the caller", version: "1.1", header: "Connection: close\r\n", size: 1 << 16},
+		{name: "larger than what is read in vain", version: "1.1", header: "Connection: close\r\n", size: 2 * maxUnreadBytes},
+		{name: "older version of HTTP", version: "1.0", size: 1 << 16},
+		{name: "connection kept", version: "1.1", size: 1 << 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", l.Address().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST / HTTP/%s\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n", c.version, c.header, c.size)
+			require.NoError(t, err)
+			half := make([]byte, c.size/2)
+			for range 2 {
+				time.Sleep(50 * time.Millisecond)
+				_, err = conn.Write(half)
+				require.NoError(t, err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			data, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+			assert.Equal(t, "request body too large\n", string(data))
+		})
+	}
+}
+
+func TestABodyThatNeverArrivesDelaysARefusalForALimitedTime(t *testing.T) {
+	l := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "no such route", http.StatusNotFound)
+	})
+	conn, err := net.Dial("tcp", l.Address().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 9\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(2*unreadBodyTimeout)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, http.StatusNotFound, resp.StatusCode)
+}
