--- a/lab/launcher/launcher.go
+++ b/lab/launcher/launcher.go
@@ -29,6 +29,8 @@
 	readyTimeout = 15 * time.Second
 	// stopTimeout limits the wait until all threads of a process that got SIGSTOP are stopped.
 	stopTimeout = 5 * time.Second
+	// maxOutputBytes is how much of a log an EndedError holds.
+	maxOutputBytes = 4 << 10
 	// pollInterval is the interval between two checks of a condition in Await.
 	pollInterval = 20 * time.Millisecond
 )
--- a/lab/launcher/process.go
+++ b/lab/launcher/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -63,10 +64,38 @@
 // Signal sends sig to the process by its ID. For SIGSTOP it also waits until all threads are stopped: the kernel hands the
 // signal to one thread, and the others run on until that one is scheduled.
 func (p *Process) Signal(sig syscall.Signal) error {
-	if err := p.cmd.Process.Signal(sig); err != nil || sig != syscall.SIGSTOP {
+	err := p.cmd.Process.Signal(sig)
+	if errors.Is(err, os.ErrProcessDone) {
+		return p.endedError()
+	}
+	if err != nil || sig != syscall.SIGSTOP {
 		return err
 	}
-	return Await(context.Background(), stopTimeout, func() bool { return p.hasExited() || isStopped(p.PID()) })
+	err = Await(context.Background(), stopTimeout, func() bool { return p.hasExited() || isStopped(p.PID()) })
+	if p.hasExited() {
+		return p.endedError()
+	}
+	return err
+}
+
+// endedError returns how the process ended and what it wrote last.
+func (p *Process) endedError() error {
+	<-p.exited
+	data, _ := os.ReadFile(filepath.Join(p.dir, p.Name+".log")) // the error is worth returning without it
+	return &EndedError{Name: p.Name, State: p.cmd.ProcessState.String(), Output: string(data[max(0, len(data)-maxOutputBytes):])}
+}
+
+// EndedError reports that a process had ended before it could be sent a signal.
+type EndedError struct {
+	Name string
+	// State is the exit status or signal.
+	State string
+	// Output is the end of the process's log.
+	Output string
+}
+
+func (e *EndedError) Error() string {
+	return "launcher: unable to signal " + e.Name + ": the process has ended (" + e.State + "); the end of its log:\n" + e.Output
 }
 
 // isStopped reports whether all threads of a process are stopped.
--- a/lab/launcher/process_test.go
+++ b/lab/launcher/process_test.go
@@ -44,3 +44,15 @@
 		p.Kill()
 	}
 }
+
+func TestASignalToAProcessThatHasEndedFailsWithItsStateAndOutput(t *testing.T) {
+	p := &Process{Name: "busy", bin: os.Args[0], dir: t.TempDir(), env: []string{busyVariable + "=1"}}
+	require.NoError(t, p.launch())
+	require.NoError(t, os.WriteFile(p.dir+"/busy.log", []byte("last words"), 0o600))
+	p.Kill()
+	for _, sig := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+		var ended *EndedError
+		require.ErrorAs(t, p.Signal(sig), &ended)
+		require.Equal(t, EndedError{Name: "busy", State: "signal: killed", Output: "last words"}, *ended)
+	}
+}
