Let a request that comes back arrive anew in the simulator

A host gives a request that comes back the time of its new arrival. The simulator kept that of the first attempt, so that the placer saw it as having waited for seconds.

--- a/lab/simulator/requests.go
+++ b/lab/simulator/requests.go
@@ -16,9 +16,9 @@
 	output       int
 	firstEventAt time.Time
 	wasRefused   bool
-	// lastArrival is when the request last arrived at the owner; a retry sets it again.
-	lastArrival time.Time
-	isServed    bool
+	// firstArrival is when the caller first sent the request. Arrived is when it last arrived at the owner.
+	firstArrival time.Time
+	isServed     bool
 	// isSlow is set once the time between two events exceeded MaxPause.
 	isSlow bool
 	isDone bool
@@ -56,7 +56,7 @@
 			},
 			DataCentre: fmt.Sprintf("z%d", i%max(1, s.DataCentres)), MaxPause: s.MaxPause, Fingerprint: uint64(i) + 1,
 		},
-		output: int(output),
+		output: int(output), firstArrival: at,
 	}
 	q.FirstEventDeadline = at.Add(s.FirstEventTarget - s.HopLatency)
 	q.TargetStart = q.FirstEventDeadline.Add(-s.prefillTime(q.Prompt) - 4*s.HopLatency)
