Refuse a request that comes back at once while there is still no room

Cause: only first attempts were refused by prediction; one that came back waited until its latest start. Class: a verdict that is known and not told.

Failed before: TestARequestThatComesBackIsRefusedAtOnceWhileThereIsStillNoRoom. The name of the test of retries said that they are never refused by prediction; its checks are as they were.

--- a/parts/coordination/placer/plan.go
+++ b/parts/coordination/placer/plan.go
@@ -83,13 +83,12 @@
 	return Refusal{ID: r.ID, Reason: "no engine runs the version that began the stream", RetryAfter: noVersionRetryAfter}, true
 }
 
-// refuseUnservable refuses the late requests that are predicted to miss their latest start. Retries are not refused by
-// prediction again.
+// refuseUnservable refuses the late requests that are predicted to miss their latest start.
 func (p *Placer) refuseUnservable(now time.Time, waiting []Request) []Refusal {
 	var refused []Refusal
 	ahead := 0
 	for _, r := range waiting {
-		if r.IsLate(now) && !r.IsRetry {
+		if r.IsLate(now) {
 			if wait, ok := p.predictWait(now, ahead); ok && now.Add(wait).After(r.LatestStart) {
 				refused = append(refused, p.refuse(now, r, "no engine will have room in time", ahead))
 				continue
