Measure the size of a request by the stage that limits the capacity

Seen: in overload beyond the prefill stage's rate, the requests with the most decode work were deferred, which frees no prefill; as many as before were late, 453 of 3,721 refused past a quarter of their target at 2.3 of capacity.

Cause: the time for which a request occupies the engines was that of its decode memory, whichever stage was the bottleneck.

--- a/parts/coordination/placer/capacity.go
+++ b/parts/coordination/placer/capacity.go
@@ -22,9 +22,12 @@
 type capacity struct {
 	// rate is in requests of mean size per second, 0 without enough samples.
 	rate float64
-	// typical is the work of a request of mean size, as defined by work.
-	typical    float64
-	measuredAt time.Time
+	// typicalPrompt and typicalWork are those of a request of mean size, the latter as defined by work.
+	typicalPrompt float64
+	typicalWork   float64
+	// isPrefillBound is set if the prefill stage limits the throughput.
+	isPrefillBound bool
+	measuredAt     time.Time
 }
 
 // updateCapacity measures the capacity again once it is older than capacityLifetime.
@@ -57,11 +60,13 @@
 	if !l.IsMeasured() {
 		return capacity{}
 	}
-	rate := l.Throughput(l.PrefillEngines)
-	if len(limits[0])+len(limits[1]) > 0 {
-		rate = min(rate, limitedRate(limits[0], l.PrefillEngines, l.PrefillRate()), limitedRate(limits[1], l.DecodeEngines, l.DecodeRate()))
+	prefillRate := limitedRate(limits[0], l.PrefillEngines, l.PrefillRate())
+	decodeRate := limitedRate(limits[1], l.DecodeEngines, l.DecodeRate())
+	typical := p.typical()
+	return capacity{
+		rate: min(prefillRate, decodeRate), typicalPrompt: float64(typical.Prompt), typicalWork: work(typical),
+		isPrefillBound: prefillRate < decodeRate,
 	}
-	return capacity{rate: rate, typical: work(p.typical())}
 }
 
 // limitedRate returns the requests per second of n engines, some of which have a rate limit. perEngine is that of one
@@ -88,9 +93,13 @@
 	return (float64(j.Prompt) + output/2) * output
 }
 
-// engineTime returns the time for which a job occupies the capacity of all engines together.
+// engineTime returns the time for which a job occupies the capacity of all engines together, in the stage that limits it.
 func (c capacity) engineTime(j packer.Job) time.Duration {
-	return time.Duration(work(j) / max(1, c.typical) / c.rate * float64(time.Second))
+	share := work(j) / max(1, c.typicalWork)
+	if c.isPrefillBound {
+		share = float64(j.Prompt) / max(1, c.typicalPrompt)
+	}
+	return time.Duration(share / c.rate * float64(time.Second))
 }
 
 // deferExcess marks requests as late if not all can meet their targets: as few as possible, the largest first. The list
--- a/parts/coordination/placer/placer_test.go
+++ b/parts/coordination/placer/placer_test.go
@@ -423,6 +423,31 @@
 	}
 }
 
+// The burst is limited by prefill: runs with long outputs cost it nothing.
+func TestTheRequestsThatOccupyTheLimitingStageForLongestAreDeferred(t *testing.T) {
+	long := request(1, epoch)
+	long.Prompt, long.Hint = 20_000, 100
+	chatty := request(2, epoch)
+	chatty.Prompt, chatty.Hint = 1_000, 6_000
+	for _, c := range []struct {
+		isPrefillBound bool
+		deferred       string
+	}{
+		{isPrefillBound: true, deferred: long.ID},
+		{isPrefillBound: false, deferred: chatty.ID},
+	} {
+		list := []Request{chatty, long}
+		for i := range list {
+			list[i].TargetStart = epoch.Add(10 * time.Millisecond)
+		}
+		limit := capacity{rate: 10, typicalPrompt: 5_000, typicalWork: 10e6, isPrefillBound: c.isPrefillBound}
+		require.True(t, limit.deferExcess(epoch, list))
+		for _, r := range list {
+			assert.Equal(t, r.ID == c.deferred, r.IsLate(epoch), r.ID)
+		}
+	}
+}
+
 func TestAnEngineWithARateLimitGetsNoMorePlacementsThanItAccepts(t *testing.T) {
 	p := newPlacer(3, 3)
 	for i := range p.engines {
