--- a/parts/coordination/placer/placer_test.go
+++ b/parts/coordination/placer/placer_test.go
@@ -370,7 +370,7 @@
 	}
 }
 
-func TestARetryKeepsItsFirstDeadlineAndIsPlacedOnceThereIsRoom(t *testing.T) {
+func TestARetryKeepsItsFirstDeadlineAndWaitsWhileItCanStillMeetIt(t *testing.T) {
 	p := newMeasuredPlacer(t)
 	result := arrive(p, 60, 10*time.Millisecond, func(int) {}, func(Placement) {})
 	require.NotEmpty(t, result.refused)
@@ -387,6 +387,7 @@
 
 	assert.True(t, recorded.IsRetry)
 	assert.True(t, recorded.FirstEventDeadline.Before(retry.FirstEventDeadline), "the retry keeps the deadline of the first attempt")
+	require.False(t, recorded.IsLate(now))
 	assert.Empty(t, p.Plan(now, []Request{recorded}).Refusals)
 	assert.False(t, p.RecordArrival(now, retry).IsRetry, "a refusal allows one retry")
 	p.refuse(now, recorded, "", 0)
@@ -423,20 +424,20 @@
 	}
 }
 
-// The burst is limited by prefill: runs with long outputs cost it nothing.
+// Requests with long outputs were deferred while prefill was the limit, which freed none of it.
 func TestTheRequestsThatOccupyTheLimitingStageForLongestAreDeferred(t *testing.T) {
-	long := request(1, epoch)
-	long.Prompt, long.Hint = 20_000, 100
-	chatty := request(2, epoch)
-	chatty.Prompt, chatty.Hint = 1_000, 6_000
+	longPrompt := request(1, epoch)
+	longPrompt.Prompt, longPrompt.Hint = 20_000, 100
+	longOutput := request(2, epoch)
+	longOutput.Prompt, longOutput.Hint = 1_000, 6_000
 	for _, c := range []struct {
 		isPrefillBound bool
 		deferred       string
 	}{
-		{isPrefillBound: true, deferred: long.ID},
-		{isPrefillBound: false, deferred: chatty.ID},
+		{isPrefillBound: true, deferred: longPrompt.ID},
+		{isPrefillBound: false, deferred: longOutput.ID},
 	} {
-		list := []Request{chatty, long}
+		list := []Request{longOutput, longPrompt}
 		for i := range list {
 			list[i].TargetStart = epoch.Add(10 * time.Millisecond)
 		}
