Register the origin of a stream before its prefill

Callers saw: a stream that broke off within some 0.2 s of its first event when all hosts lost power was refused whenever they took it up.

Cause: the origin was registered at the first event, and its way to the log (the owner of the service, a batch) takes 0.1 to 0.2 s. Those whose origins are in the log go on in the first seconds after the restart, while the hosts don't count as in touch, so that mostly the unknown ones are counted. Class: a fact that others need later kept by one host for a while.

Change: while several versions serve, the origin of a generation is registered when it has its engines, before its prefill. From then on no other version may begin it, as other hosts may know of this one only. A new stream that finds no engine of its version after a failure is told to come back soon: another attempt may begin anywhere.

Ruled out: the first event held back until its origin is in the log (0.1 s for every stream of such a service); a second record after a failure in place of keeping to the version (a stream could be joined if all hosts end before it is written).

Failed before: TestTheOriginOfAStreamIsRegisteredBeforeItsPrefillAndNoOtherVersionBeginsIt, TestAStreamIsAnnouncedOnlyWhileSeveralVersionsMayBeginIt (there was no such step).

--- a/transport/callers/router/dialect.go
+++ b/transport/callers/router/dialect.go
@@ -58,6 +58,9 @@
 type Origins interface {
 	// Admits reports whether streams may begin at a software version of a service.
 	Admits(service, version string) bool
+	// Announce registers a stream that is about to begin at an endpoint if several versions may begin it, and reports whether it did:
+	// then it must begin at no other version.
+	Announce(k attributor.Key, e enroller.Endpoint, isShared bool) bool
 	// Begin registers a stream that begins at an endpoint, before its caller receives any of it. isShared is set if requests for the
 	// same route may go to several services.
 	Begin(k attributor.Key, e enroller.Endpoint, isShared bool)
--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -24,6 +24,8 @@
 	defaultFirstEventDelay = 250 * time.Millisecond
 	// firstEventDelayWeight is the weight of the newest sample in the moving average.
 	firstEventDelayWeight = 0.1
+	// announcedRetryAfter bounds the Retry-After of a new stream that was announced at a software version without room.
+	announcedRetryAfter = time.Second
 	// maxPlacements bounds the placements of one request: while prefill fails, each one only delays other requests.
 	maxPlacements = 3
 	// placementWaitShare is the share of the remaining time that a request may wait for a placement.
@@ -51,7 +53,7 @@
 		}
 		var refused *dispatcher.RefusedError
 		if errors.As(err, &refused) {
-			rl.respond(ctx, result{status: http.StatusServiceUnavailable, reason: refused.Reason, retryAfter: refused.RetryAfter})
+			rl.respond(ctx, result{status: http.StatusServiceUnavailable, reason: refused.Reason, retryAfter: rl.retryAfter(refused)})
 			return
 		}
 		if err != nil {
@@ -72,6 +74,14 @@
 	rl.respondFailed(ctx, failed)
 }
 
+// retryAfter returns the Retry-After of a refused placement. A new stream that was only announced may begin anywhere if it comes back.
+func (rl *relay) retryAfter(refused *dispatcher.RefusedError) time.Duration {
+	if rl.version != "" && !rl.committed && !rl.j.request.IsResumption() {
+		return min(refused.RetryAfter, announcedRetryAfter)
+	}
+	return refused.RetryAfter
+}
+
 // place waits for a placement. The error is an *isolator.ConvictedError if the request is convicted meanwhile.
 func (rt *Router) place(ctx context.Context, rl *relay) (dispatcher.Placement, error) {
 	guarded, release := rt.Sender.Isolator.Guard(ctx, rl.j.Work())
@@ -141,6 +151,7 @@
 	before := rl.count
 	defer func() { rt.reportEnd(rl, isFinal, rl.count-before) }()
 	rl.reportProgress(rt.Clock.Now(), p)
+	rl.announceOrigin(p.DecodeEngine)
 	tried := make(map[string]bool)
 	src, err := rt.prefill(ctx, j, p, tried)
 	if err != nil {
--- a/transport/callers/router/generate_test.go
+++ b/transport/callers/router/generate_test.go
@@ -12,7 +12,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/enroller"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/dispatcher"
+	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/registrar"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/sender"
 )
 
@@ -74,3 +79,25 @@
 		assert.Equal(t, !mayHaveRun, got == http.StatusServiceUnavailable)
 	}
 }
+
+// Streams that broke off within 0.2 s of their first event could not be resumed after the loss of all hosts: their origins were
+// not in the log yet.
+func TestTheOriginOfAStreamIsRegisteredBeforeItsPrefillAndNoOtherVersionBeginsIt(t *testing.T) {
+	rl := newStream(clockwork.NewFakeClock())
+	origins := &fakeOrigins{begun: make(map[attributor.Key]attributor.Origin)}
+	rl.router.Origins, rl.isPlaced = origins, true
+	endpoint := func(version string) *discoverer.Endpoint {
+		return &discoverer.Endpoint{Endpoint: enroller.Endpoint{ID: version, Service: "writer", Version: version}}
+	}
+
+	rl.announceOrigin(endpoint("v1"))
+
+	assert.Equal(t, map[attributor.Key]attributor.Origin{registrar.Key(0, ""): {Service: "writer", Version: "v1"}}, origins.begun)
+	assert.True(t, rl.mayUse(endpoint("v1")))
+	assert.False(t, rl.mayUse(endpoint("v2")))
+	assert.Equal(t, "v1", rl.placementRequest().Version)
+	refused := &dispatcher.RefusedError{RetryAfter: time.Minute}
+	assert.Equal(t, time.Second, rl.retryAfter(refused), "it may begin at any version if it comes back")
+	rl.j.request.LastEventID = "7"
+	assert.Equal(t, time.Minute, rl.retryAfter(refused))
+}
--- a/transport/callers/router/origin.go
+++ b/transport/callers/router/origin.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// announceOrigin has the origin of a stream registered before its prefill, and keeps it to the software version of its decode engine
+// if that was needed.
+func (rl *relay) announceOrigin(e *discoverer.Endpoint) {
+	rt, j := rl.router, rl.j
+	if rt.Origins == nil || rl.committed {
+		return
+	}
+	if rt.Origins.Announce(registrar.Key(j.Fingerprint, j.ID), e.Endpoint, len(j.route.Targets) > 1) {
+		rl.version = e.Version
+	}
+}
+
 // mayUse reports whether an endpoint's software version may write the stream.
 func (rl *relay) mayUse(e *discoverer.Endpoint) bool {
 	switch {
--- a/transport/callers/router/origin_test.go
+++ b/transport/callers/router/origin_test.go
@@ -47,6 +47,11 @@
 	f.begun[k] = attributor.Origin{Service: e.Service, Version: e.Version}
 }
 
+func (f *fakeOrigins) Announce(k attributor.Key, e enroller.Endpoint, isShared bool) bool {
+	f.Begin(k, e, isShared)
+	return true
+}
+
 func (f *fakeOrigins) Resolve(_ context.Context, _ []string, k attributor.Key) (attributor.Origin, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -30,7 +30,7 @@
 	committed bool
 	// isPlaced is set for generations, whose placement includes that streams may begin at the engine's software version.
 	isPlaced bool
-	// version is the software version that has begun the stream; empty until then.
+	// version is the software version that has begun the stream, or that alone may begin it; empty until then.
 	version string
 	// mayHaveRun is set once a send may have run the request, whatever the results of later sends.
 	mayHaveRun  bool
--- a/transport/endpoints/registrar/registrar.go
+++ b/transport/endpoints/registrar/registrar.go
@@ -169,6 +169,19 @@
 	r.add(k, attributor.Origin{Service: e.Service, Version: e.Version}, isShared)
 }
 
+// Announce registers a stream that is about to begin at an endpoint if several versions may begin it, so that its origin is in
+// the log by its first event. It reports whether it did: then it must begin at no other version, as other hosts may know of this
+// one only.
+func (r *Registrar) Announce(k attributor.Key, e enroller.Endpoint, isShared bool) bool {
+	r.mu.Lock()
+	isNeeded := isShared || r.isMixed(e.Service)
+	r.mu.Unlock()
+	if isNeeded {
+		r.Begin(k, e, isShared)
+	}
+	return isNeeded
+}
+
 // add registers an origin, and has it reported if others need it. The caller holds mu.
 func (r *Registrar) add(k attributor.Key, o attributor.Origin, isShared bool) {
 	if r.ledger.Add(r.Clock.Now(), k, o) && (isShared || r.isMixed(o.Service)) {
--- a/transport/endpoints/registrar/registrar_test.go
+++ b/transport/endpoints/registrar/registrar_test.go
@@ -245,6 +245,20 @@
 	assert.Equal(t, origin("v1"), o)
 }
 
+func TestAStreamIsAnnouncedOnlyWhileSeveralVersionsMayBeginIt(t *testing.T) {
+	log := newLog()
+	single := newNode(t, "a", log, "v1")
+	eventually(t, "the version recorded", func() bool { return single.Admits("writer", "v1") })
+	assert.False(t, single.Announce(1, endpointOf("v1"), false))
+	assert.Empty(t, single.ledger.Keys(time.Now(), "writer"), "it may begin at another version")
+
+	log = newLog()
+	mixed := newNode(t, "a", log, "v1", "v2")
+	eventually(t, "the versions recorded", func() bool { return mixed.Admits("writer", "v1") && mixed.Admits("writer", "v2") })
+	assert.True(t, mixed.Announce(1, endpointOf("v1"), false))
+	eventually(t, "the origin in the log", func() bool { return log.count(originTopic) > 0 })
+}
+
 func TestTheOriginOfAStreamIsKnownToAllHostsAndToThoseThatStartLater(t *testing.T) {
 	log := newLog()
 	owner := newNode(t, "a", log, "v1", "v2")
