Let a resumed stream wait longer for a placement than a new one

Callers saw: after the loss of all hosts, streams that were taken up again were refused for want of room after 2.1 to 2.6 s, while runs from before still held the memory of the engines of their version; room came a second later.

Change: a resumed stream waits for up to 0.7 of the time that it has left (0.35 before, as for new ones): it goes first, its caller has a part of the answer, and less of it is left to write.

Failed before: TestAResumedStreamWaitsLongerForAPlacementThanANewOne.

--- a/transport/callers/router/generate.go
+++ b/transport/callers/router/generate.go
@@ -30,6 +30,8 @@
 	maxPlacements = 3
 	// placementWaitShare is the share of the remaining time that a request may wait for a placement.
 	placementWaitShare = 0.35
+	// resumptionWaitShare is the same for a stream that is resumed: its caller has a part of the answer, and less is left to write.
+	resumptionWaitShare = 0.7
 )
 
 // kvSource is the KV cache of a prompt at its prefill engine.
@@ -98,11 +100,15 @@
 func (rl *relay) placementRequest() dispatcher.Request {
 	rt, j := rl.router, rl.j
 	now := rt.Clock.Now()
+	share := placementWaitShare
+	if rl.count > 0 || j.request.IsResumption() {
+		share = resumptionWaitShare
+	}
 	req := dispatcher.Request{
 		Service: j.Service, ID: j.ID, Prompt: j.request.Prompt.Tokens, Hint: j.request.Prompt.Hint,
 		MaxOutput: j.request.Prompt.MaxOutput, Priority: j.route.Priority, MaxPause: j.route.MaxPause, Arrived: j.started,
 		Fingerprint: j.Fingerprint, Version: rl.version,
-		FirstEventDeadline: j.started.Add(j.route.TargetLatency), LatestStart: now.Add(time.Duration(placementWaitShare * float64(j.Left(now)))),
+		FirstEventDeadline: j.started.Add(j.route.TargetLatency), LatestStart: now.Add(time.Duration(share * float64(j.Left(now)))),
 	}
 	waitingSince := j.started
 	if rl.count > 0 {
--- a/transport/callers/router/generate_test.go
+++ b/transport/callers/router/generate_test.go
@@ -101,3 +101,13 @@
 	rl.j.request.LastEventID = "7"
 	assert.Equal(t, time.Minute, rl.retryAfter(refused))
 }
+
+// Resumed streams were refused for want of room after 2.5 s, while runs from before the loss of all hosts still held memory.
+func TestAResumedStreamWaitsLongerForAPlacementThanANewOne(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	rl := newStream(clock)
+	rl.j.route.EventTimeout = 0
+	fresh := rl.placementRequest().LatestStart
+	rl.j.request.LastEventID = "7"
+	assert.Equal(t, 2*fresh.Sub(clock.Now()), rl.placementRequest().LatestStart.Sub(clock.Now()))
+}
