--- a/transport/hosts/messenger/session.go
+++ b/transport/hosts/messenger/session.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/coder/websocket"
 	"github.com/joomcode/errorx"
@@ -129,9 +128,11 @@
 		}
 		return
 	}
+	pause, endPause := context.WithTimeout(s.messenger.ctx, probeInterval)
+	defer endPause()
 	select {
 	case <-s.closed:
-	case <-time.After(probeInterval):
+	case <-pause.Done():
 	}
 }
 
