Serve twice-written parts of the origins of streams by one

No behaviour is changed. One constant for the Retry-After of a stream that cannot be resumed any more, in attributor (registrar, router and placer each had its own); one function for the key of a stream that a request begins; Announce decides and registers under one lock; IsReady without its wrapper; one call that reads the rest of a body for subtrees and routes. The tests name the constant; their assertions are as they were.

--- a/parts/coordination/attributor/versions.go
+++ b/parts/coordination/attributor/versions.go
@@ -24,6 +24,8 @@
 const (
 	// MaxStreamLifetime is the longest time from the first event of a stream to its last resumption.
 	MaxStreamLifetime = 5 * time.Minute
+	// FinalRetryAfter is the Retry-After of a stream that cannot be resumed any more, which no retry changes.
+	FinalRetryAfter = time.Minute
 	// ConfirmationLifetime is how long a host may begin streams by records that it could not confirm.
 	ConfirmationLifetime = 5 * time.Minute
 	// retirementDelay is how long no endpoint may announce a version before its retirement begins.
--- a/parts/coordination/placer/plan.go
+++ b/parts/coordination/placer/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/queuer"
 )
 
@@ -16,8 +17,6 @@
 	retryGrace = 5 * time.Second
 	// unboundedWait is the predicted wait while requests arrive at least as fast as they can be served.
 	unboundedWait = time.Hour
-	// noVersionRetryAfter is the retry time of a stream whose software version no engine runs any more.
-	noVersionRetryAfter = time.Minute
 )
 
 // Plan holds the decisions on waiting requests. A request in neither list continues to wait.
@@ -80,7 +79,7 @@
 	if isListed {
 		return p.refuse(now, r, "no engine of the version that began the stream is in the decode stage", ahead), true
 	}
-	return Refusal{ID: r.ID, Reason: "no engine runs the version that began the stream", RetryAfter: noVersionRetryAfter}, true
+	return Refusal{ID: r.ID, Reason: "no engine runs the version that began the stream", RetryAfter: attributor.FinalRetryAfter}, true
 }
 
 // refuseUnservable refuses the late requests that are predicted to miss their latest start.
--- a/parts/coordination/placer/version_test.go
+++ b/parts/coordination/placer/version_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/matcher"
 )
 
@@ -56,13 +57,13 @@
 	plan := p.Plan(epoch, []Request{resumption(0, "v3"), request(1, epoch)})
 	require.Len(t, plan.Refusals, 1)
 	assert.Equal(t, "q0", plan.Refusals[0].ID)
-	assert.Equal(t, noVersionRetryAfter, plan.Refusals[0].RetryAfter)
+	assert.Equal(t, attributor.FinalRetryAfter, plan.Refusals[0].RetryAfter)
 	assert.Len(t, plan.Placements, 1)
 
 	p.Update(p.service, p.engines[:13]) // the decode engines of v2 leave while streams wait
 	plan = p.Plan(epoch.Add(time.Second), []Request{resumption(2, "v2")})
 	require.Len(t, plan.Refusals, 1)
-	assert.Less(t, plan.Refusals[0].RetryAfter, noVersionRetryAfter, "an engine may change its stage")
+	assert.Less(t, plan.Refusals[0].RetryAfter, attributor.FinalRetryAfter, "an engine may change its stage")
 }
 
 func TestANewStreamIsNotPlacedAtAVersionThatIsNotRecorded(t *testing.T) {
--- a/transport/callers/listener/listener.go
+++ b/transport/callers/listener/listener.go
@@ -108,14 +108,14 @@
 		return nil, errorx.Decorate(err, "listener: unable to route %s", o.Name)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handle := routes.Serve
 		for prefix, h := range o.Subtrees {
 			if strings.HasPrefix(r.URL.Path, prefix) {
-				h(w, r)
-				discardUnread(w, r, o.Clock)
-				return
+				handle = h
+				break
 			}
 		}
-		routes.Serve(w, r)
+		handle(w, r)
 		discardUnread(w, r, o.Clock)
 	}), nil
 }
--- a/transport/callers/router/origin.go
+++ b/transport/callers/router/origin.go
@@ -4,16 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/hornbeamspan/hornbeamspan/parts/coordination/attributor"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/discoverer"
 	"github.com/hornbeamspan/hornbeamspan/transport/endpoints/registrar"
 )
 
-// noVersionRetryAfter is the Retry-After of a stream whose software version no endpoint runs any more.
-const noVersionRetryAfter = time.Minute
-
 // resolveOrigin finds out which service and software version began a stream that the caller resumes. It returns a refusal if
 // that is not known, as no other version may go on with the stream.
 func (rt *Router) resolveOrigin(ctx context.Context, j *job) *result {
@@ -27,7 +23,7 @@
 	services := j.route.Services()
 	o, err := rt.Origins.Resolve(ctx, services, key)
 	if err != nil {
-		refusal := &result{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: noVersionRetryAfter}
+		refusal := &result{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: attributor.FinalRetryAfter}
 		var unknown *registrar.UnknownOriginError
 		if errors.As(err, &unknown) {
 			refusal.retryAfter = unknown.RetryAfter
@@ -39,21 +35,27 @@
 	return nil
 }
 
-// registerOrigin registers that the stream of j begins, or goes on, at an endpoint.
-func (rt *Router) registerOrigin(j *job, e *discoverer.Endpoint) {
-	if rt.Origins != nil {
-		rt.Origins.Begin(registrar.Key(j.Fingerprint, j.ID), e.Endpoint, len(j.route.Targets) > 1)
+// streamKey returns the key of the stream that the request begins, and whether requests for its route may go to several services.
+func (j *job) streamKey() (k attributor.Key, isShared bool) {
+	return registrar.Key(j.Fingerprint, j.ID), len(j.route.Targets) > 1
+}
+
+// registerOrigin registers that the stream begins, or goes on, at an endpoint.
+func (rl *relay) registerOrigin(e *discoverer.Endpoint) {
+	if rl.router.Origins != nil {
+		k, isShared := rl.j.streamKey()
+		rl.router.Origins.Begin(k, e.Endpoint, isShared)
 	}
 }
 
 // announceOrigin has the origin of a stream registered before its prefill, and keeps it to the software version of its decode engine
 // if that was needed.
 func (rl *relay) announceOrigin(e *discoverer.Endpoint) {
-	rt, j := rl.router, rl.j
-	if rt.Origins == nil || rl.committed {
+	if rl.router.Origins == nil || rl.committed {
 		return
 	}
-	if rt.Origins.Announce(registrar.Key(j.Fingerprint, j.ID), e.Endpoint, len(j.route.Targets) > 1) {
+	k, isShared := rl.j.streamKey()
+	if rl.router.Origins.Announce(k, e.Endpoint, isShared) {
 		rl.version = e.Version
 	}
 }
@@ -71,6 +73,6 @@
 
 func noVersionResult() result {
 	return result{
-		status: http.StatusServiceUnavailable, reason: "no endpoint runs the version that began the stream", retryAfter: noVersionRetryAfter,
+		status: http.StatusServiceUnavailable, reason: "no endpoint runs the version that began the stream", retryAfter: attributor.FinalRetryAfter,
 	}
 }
--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -142,7 +142,7 @@
 	}
 	rl.committed = true
 	rl.version = e.Version
-	rl.router.registerOrigin(rl.j, e)
+	rl.registerOrigin(e)
 	sender.CopyHeader(rl.w.Header(), resp.Header)
 	rl.w.WriteHeader(resp.StatusCode)
 }
--- a/transport/endpoints/registrar/registrar.go
+++ b/transport/endpoints/registrar/registrar.go
@@ -33,8 +33,6 @@
 	kindOrigin  = "origin"
 	// unknownRetryAfter is when a caller may learn more if the log could not be read.
 	unknownRetryAfter = time.Second
-	// finalRetryAfter is the Retry-After of a refusal that a retry does not change.
-	finalRetryAfter = time.Minute
 	// listDelay is how long after an endpoint's start its entry may arrive here.
 	listDelay = 30 * time.Second
 	// clockSkew is the largest expected difference between the clocks of an endpoint and of this host.
@@ -136,7 +134,23 @@
 
 // IsReady reports whether the versions have been read, and of each service with endpoints one has been recorded. A host that has
 // been ready stays ready.
-func (r *Registrar) IsReady() bool { return r.checkReady() }
+func (r *Registrar) IsReady() bool {
+	if r.isReady.Load() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.versions.IsListed() {
+		return false
+	}
+	for _, service := range r.Services() {
+		if len(r.Endpoints.Service(service)) > 0 && len(r.versions.Possible(service)) == 0 {
+			return false
+		}
+	}
+	r.isReady.Store(true)
+	return true
+}
 
 // Done returns a channel that is closed once Run has returned.
 func (r *Registrar) Done() <-chan struct{} { return r.done }
@@ -163,6 +177,11 @@
 func (r *Registrar) Begin(k attributor.Key, e enroller.Endpoint, isShared bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.begin(k, e, isShared)
+}
+
+// begin registers a stream that begins at an endpoint. The caller holds mu.
+func (r *Registrar) begin(k attributor.Key, e enroller.Endpoint, isShared bool) {
 	now := r.Clock.Now()
 	recent := slices.DeleteFunc(r.recent[e.ID], func(b beginning) bool { return now.Sub(b.at) > listDelay })
 	r.recent[e.ID] = append(recent, beginning{key: k, at: now})
@@ -174,12 +193,12 @@
 // one only.
 func (r *Registrar) Announce(k attributor.Key, e enroller.Endpoint, isShared bool) bool {
 	r.mu.Lock()
-	isNeeded := isShared || r.isMixed(e.Service)
-	r.mu.Unlock()
-	if isNeeded {
-		r.Begin(k, e, isShared)
+	defer r.mu.Unlock()
+	if !isShared && !r.isMixed(e.Service) {
+		return false
 	}
-	return isNeeded
+	r.begin(k, e, isShared)
+	return true
 }
 
 // add registers an origin, and has it reported if others need it. The caller holds mu.
--- a/transport/endpoints/registrar/registrar_test.go
+++ b/transport/endpoints/registrar/registrar_test.go
@@ -318,10 +318,10 @@
 	var unknown *UnknownOriginError
 	_, err := n.resolve(1)
 	require.ErrorAs(t, err, &unknown)
-	assert.Equal(t, finalRetryAfter, unknown.RetryAfter)
+	assert.Equal(t, attributor.FinalRetryAfter, unknown.RetryAfter)
 	_, err = n.resolve(0)
 	require.ErrorAs(t, err, &unknown)
-	assert.Equal(t, finalRetryAfter, unknown.RetryAfter, "a caller who names no stream")
+	assert.Equal(t, attributor.FinalRetryAfter, unknown.RetryAfter, "a caller who names no stream")
 	log.setDown(true)
 	_, err = n.resolve(1)
 	require.ErrorAs(t, err, &unknown)
--- a/transport/endpoints/registrar/resolve.go
+++ b/transport/endpoints/registrar/resolve.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return &UnknownOriginError{Reason: "the version that began it is not known at present: " + err.Error(), RetryAfter: unknownRetryAfter}
 	}
-	return &UnknownOriginError{Reason: "the version that began it is not known", RetryAfter: finalRetryAfter}
+	return &UnknownOriginError{Reason: "the version that began it is not known", RetryAfter: attributor.FinalRetryAfter}
 }
 
 // findOne returns the origin in memory, if it is one of some services.
--- a/transport/endpoints/registrar/run.go
+++ b/transport/endpoints/registrar/run.go
@@ -108,24 +108,6 @@
 	}
 }
 
-func (r *Registrar) checkReady() bool {
-	if r.isReady.Load() {
-		return true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.versions.IsListed() {
-		return false
-	}
-	for _, service := range r.Services() {
-		if len(r.Endpoints.Service(service)) > 0 && len(r.versions.Possible(service)) == 0 {
-			return false
-		}
-	}
-	r.isReady.Store(true)
-	return true
-}
-
 // planVersions returns the changes that this host writes: those of the services that it owns, and the new versions that their
 // owner has not recorded. missingSince tells since when.
 func (r *Registrar) planVersions(missingSince map[attributor.Origin]time.Time) []attributor.Change {
