Dialer: an answer without a length is not complete if its connection broke during the request

Callers got the first part of an answer as a complete one: an endpoint answered a long request at once, without a length, sent a part of its body and reset the connection while the request was still being written.

Cause: the kernel reports a reset to one system call only. While the request is still being written, that may be a write. The read after it gets an ordinary end of file, which is the regular end of an answer without a length. The same end comes before the reset if the endpoint closes its connection while it has nothing to read: the kernel resets it only when the next bytes of the request arrive. Neither can be seen by a look at the endpoint later (HasEnded), as the endpoint goes on.

Change: both constructors of clients wrap their connections. At the end of the other side's bytes, a connection whose request was not received completely is looked at until it is known to be reset, until the request has been received, or for 100 ms. A failed write or a reset is a BrokenConnError in place of the end of file. An answer that ends in time with its request received is not delayed. A server that ends only its own side and reads on, or reads nothing for longer than that, still has a complete answer.

--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -63,21 +63,30 @@
 	})
 }
 
-func newDialContext() func(context.Context, string, string) (net.Conn, error) {
-	return (&net.Dialer{
+// dialFunc opens a connection to an address of a network.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newDialContext() dialFunc {
+	dialer := &net.Dialer{
 		Timeout:         ConnectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-	}).DialContext
+	}
+	return wrapConns(dialer.DialContext, newBrokenConn)
 }
 
 // boundHeads bounds the head of the first answer on each connection.
-func boundHeads(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func boundHeads(dial dialFunc) dialFunc {
+	return wrapConns(dial, func(conn net.Conn) net.Conn { return &headConn{Conn: conn} })
+}
+
+// wrapConns returns dial with wrap applied to each connection.
+func wrapConns(dial dialFunc, wrap func(net.Conn) net.Conn) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &headConn{Conn: conn}, nil
+		return wrap(conn), nil
 	}
 }
 
@@ -91,11 +100,18 @@
 
 // Do sends r. Sent is false if no connection was established, so that the other side cannot have received any of r.
 func (c *Client) Do(r *http.Request) (resp *http.Response, sent bool, err error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected atomic.Pointer[brokenConn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn := brokenConnOf(info.Conn)
+			conn.setSending(true)
+			connected.Store(conn)
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) { connected.Load().setSending(false) },
+	}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	resp, err = c.service.DoRequest(r)
-	return resp, connected.Load(), err
+	return resp, connected.Load() != nil, err
 }
 
 // OneShotBody hides the type of a request body, so that http.Transport cannot rewind and resend it.
