Dialer: a blank in a field name makes an answer invalid

Callers of an endpoint whose answer had a blank in the name of a header field got the answer without that line. If the line was the length ("Content-Length : 3"), the body was another one than the endpoint had framed: it went on until the connection ended.

Cause: net/textproto keeps names with blanks for the sake of some old servers, and http.Transport then knows neither a length nor chunks. The library drops such names when the answer is written to the caller, so nobody reported them.

Change: Client.Do returns an InvalidAnswerError for a name that is not a token (httpguts of golang.org/x/net, which http.Transport uses for the names in requests). RFC 9112, section 5.1, wants a proxy to remove the blank before the colon; as an unsound line may also have been the one that delimits the body, the answer is refused: nothing tells which of the two readings the endpoint meant.

--- a/transport/callers/router/answer_test.go
+++ b/transport/callers/router/answer_test.go
@@ -113,3 +113,19 @@
 		requireBadGateway(t, line+"\r\nX-Engine: 1\r\nContent-Length: 6\r\n\r\nengine")
 	}
 }
+
+// badHeads has lines that no head may have. The first ones were dropped while the answer was passed on, so that callers got a body that
+// was delimited otherwise than the endpoint had said, or an answer without the line.
+var badHeads = []string{
+	"X Engine: 1", "X-Engine : 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content Length: 3", "Content-Type : application/json",
+	"X-Engine\t: 1", "X\tEngine: 1", "X\x00Engine: 1", "X\x01Engine: 1", "X\x7fEngine: 1", "X\x80Engine: 1", "X\u00e9Engine: 1", "X(Engine): 1", ": 1", "X-Engine",
+	"X-Value: a\x00b", "X-Value: a\x01b", "X-Value: a\rb", "X-Value: a\x7fb",
+	"Content-Length: x", "Content-Length: -1", "Content-Length: 6\r\nContent-Length: 7", "Transfer-Encoding: gzip",
+}
+
+func TestAnAnswerWithABadHeadIsABadGateway(t *testing.T) {
+	for _, line := range badHeads {
+		requireBadGateway(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nX-Engine: 1\r\n\r\nengine")
+		requireBadGateway(t, "HTTP/1.1 200 OK\r\nX-Engine: 1\r\nContent-Type: text/event-stream\r\n"+line+"\r\n\r\nid: 1\ndata: engine\n\n")
+	}
+}
--- a/transport/dialer/answer.go
+++ b/transport/dialer/answer.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The statuses of a final answer. RFC 9110, section 15, has no others.
@@ -26,5 +28,11 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return &InvalidAnswerError{Element: "status", Value: resp.Status}
 	}
+	for name := range resp.Header {
+		// http.Transport accepts blanks in names. Such a line may have been meant as the length of the answer.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidAnswerError{Element: "field name", Value: name}
+		}
+	}
 	return nil
 }
--- a/transport/dialer/answer_test.go
+++ b/transport/dialer/answer_test.go
@@ -29,3 +29,9 @@
 		requireInvalid(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4\r\n\r\nbody")
 	}
 }
+
+func TestAFieldNameWithABlankIsInvalid(t *testing.T) {
+	for _, name := range []string{"X Trace", "X-Trace ", "Content-Length ", "Transfer-Encoding "} {
+		requireInvalid(t, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"+name+": 3\r\n\r\nbody")
+	}
+}
--- a/transport/endpoints/sender/sender_test.go
+++ b/transport/endpoints/sender/sender_test.go
@@ -299,6 +299,8 @@
 	"HTTP/1.1 000\r\nContent-Length: 6\r\n\r\nengine",
 	"HTTP/1.1 101 Switching Protocols\r\nContent-Length: 6\r\n\r\nengine",
 	"HTTP/1.1 999\r\nContent-Length: 6\r\n\r\nengine",
+	"HTTP/1.1 200 OK\r\nX Trace: 1\r\nContent-Length: 6\r\n\r\nengine",
+	"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nengine",
 }
 
 func TestAnInvalidAnswerLeavesTheOutcomeUnknownAndIsNoCrash(t *testing.T) {
