Router: an answer without an event does not end a stream that it was to resume

Callers of a resumable stream got its first events and a regular end: the stream had broken off at its engine, and the engine that was to go on with it answered 200 without an event, with a length of 0 or with empty chunks.

Cause: the end of an answer with a length or chunks was taken for the end of the stream. For a stream that begins there, the answer is whole and the caller can see that it has no event. For one that goes on, it says nothing about the events that are missing.

Change: an answer that goes on with a stream within a response and has no event is an interruption of its engine (EmptyStreamError, until now for answers without a length only). The stream is resumed elsewhere within its attempts, or broken off. Comments are no events.

Not changed: a stream that broke off after its last event, but before its end, is now broken off for its caller if all engines answer without an event, as nothing shows that it was the last one. A caller that resumes by itself gets an engine's empty answer as it is.

Evidence: the test failed before in 4 of its 6 answers (length 0, empty chunks, a comment in either); the other two were held: an answer without a length, and one that ends inside a comment.

--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -61,11 +61,12 @@
 	return "router: unable to write to the caller: " + e.Reason
 }
 
-// EmptyStreamError reports a stream without a length that ended before its first event.
+// EmptyStreamError reports an answer without an event that does not show that the stream has ended: it has no length, or it was to go on
+// with a stream.
 type EmptyStreamError struct{}
 
 func (e *EmptyStreamError) Error() string {
-	return "router: unable to read a stream without a length: its connection ended before the first event"
+	return "router: unable to tell whether the stream has ended: the answer ended before its first event"
 }
 
 // RepeatedEventError reports a resumed stream with an event that the caller has already.
@@ -98,12 +99,15 @@
 	defer resp.Body.Close()
 	rl.framing = sender.FramingOf(resp)
 	events := splitter.New(resp.Body)
-	before, resumedAfter := rl.count, rl.lastEventID
+	before, resumedAfter, isContinued := rl.count, rl.lastEventID, rl.committed
 	for {
 		event, err := events.Next()
 		rl.rest = events.Rest()
 		if errors.Is(err, io.EOF) {
-			return rl.finish(ctx, e, resp, rl.count-before)
+			if rl.count == before && (isContinued || rl.framing == sender.FramedByClose) {
+				return &EmptyStreamError{}
+			}
+			return rl.finish(ctx, e, resp)
 		}
 		if err != nil {
 			return err
@@ -120,16 +124,11 @@
 	}
 }
 
-// finish ends a stream after n events of resp, none of them partial. Without a length, an end between two events may be that of
-// the endpoint. The events have been forwarded before, so the check delays the end only.
-func (rl *relay) finish(ctx context.Context, e *discoverer.Endpoint, resp *http.Response, n int) error {
-	if rl.framing == sender.FramedByClose {
-		if n == 0 {
-			return &EmptyStreamError{}
-		}
-		if rl.router.Sender.HasEnded(ctx, e) {
-			return &EngineEndedError{}
-		}
+// finish ends a stream after the last event of resp. Without a length, an end between two events may be that of the endpoint. The
+// events have been forwarded before, so the check delays the end only.
+func (rl *relay) finish(ctx context.Context, e *discoverer.Endpoint, resp *http.Response) error {
+	if rl.framing == sender.FramedByClose && rl.router.Sender.HasEnded(ctx, e) {
+		return &EngineEndedError{}
 	}
 	rl.commit(e, resp)
 	return nil
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -72,6 +72,8 @@
 	resumedBytes int
 	// document is sent in place of the stream, as JSON.
 	document string
+	// second is the answer of the second run, byte for byte.
+	second string
 	// isRestarted has all runs begin with the first event.
 	isRestarted bool
 
@@ -92,7 +94,7 @@
 	if run > 1 {
 		e.resumed.Store(last)
 	}
-	if run > 2 || run == 2 && e.resumedBytes == 0 {
+	if run > 2 || run == 2 && e.resumedBytes == 0 && e.second == "" {
 		_, _ = io.WriteString(w, rest)
 		return
 	}
@@ -101,7 +103,11 @@
 		return
 	}
 	defer conn.Close()
-	if run == 2 {
+	switch {
+	case run == 2 && e.second != "":
+		_, _ = io.WriteString(conn, e.second)
+		return
+	case run == 2:
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+rest[:e.resumedBytes])
 		return
 	}
@@ -331,6 +337,32 @@
 	assert.Equal(t, callerView{status: http.StatusOK, body: streamEvents[0] + streamEvents[1]}, got)
 }
 
+// A stream broke off in its third event, and the next engine answered without an event. Its caller got two events and a regular end.
+func TestAResumedStreamIsNotEndedByAnAnswerWithoutAnEvent(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	for _, second := range []string{
+		stream + "Content-Length: 0\r\n\r\n",
+		stream + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		stream + "\r\n",
+		stream + "Content-Length: 12\r\n\r\n: a comment\n",
+		stream + "Content-Length: 13\r\n\r\n: a comment\n\n",
+		stream + "Transfer-Encoding: chunked\r\n\r\nd\r\n: a comment\n\n\r\n0\r\n\r\n",
+	} {
+		requireResumedElsewhere(t, second)
+	}
+}
+
+// requireResumedElsewhere checks that a stream that broke off in its third event is resumed once more after a second run that answered
+// with other bytes than a stream, and that its caller gets none of these.
+func requireResumedElsewhere(t *testing.T, second string) {
+	cut := len(streamEvents[0]) + len(streamEvents[1]) + 9
+	engine := &rawEngine{framing: byChunks, bytes: cut, second: second}
+	got := callStream(t, engine, true)
+	got.body = strings.ReplaceAll(got.body, ": a comment\n\n", "") // the stream itself has none of this form
+	assert.Equal(t, callerView{status: http.StatusOK, body: strings.Join(streamEvents, ""), isComplete: true}, got, second)
+	assert.EqualValues(t, 3, engine.runs.Load(), second)
+}
+
 func TestAResumedStreamThatEndsInsideAnEventIsResumedAgain(t *testing.T) {
 	whole := strings.Join(streamEvents, "")
 	first := len(streamEvents[0]) + 5
