Router: a stream is resumed only by an event that has an ID

Callers of a resumable stream found an error in the middle of it, as text or with its whole head, and after it a regular end: the stream had broken off at its engine, and the engine that was to go on with it answered 200 with an error in place of events.

Cause: any lines that end with an empty one are an event for the splitter. The router checked that an event does not repeat one that the caller has, but an event without an ID cannot be compared, and passed.

Change: the first event of an answer that goes on with a stream must have an ID (UnnumberedEventError). Otherwise nothing shows its place in the stream; the engine counts as interrupted, and the stream is resumed elsewhere within its attempts, or broken off. The content type is not checked: it says nothing about the place of an event.

Also changed by this: a stream whose events have no IDs cannot be resumed within its answer. It began anew, and its caller got its first events twice.

--- a/transport/callers/router/stream.go
+++ b/transport/callers/router/stream.go
@@ -79,6 +79,15 @@
 	return fmt.Sprintf("router: unable to resume stream: expected an event after %s, got %s", e.Last, e.ID)
 }
 
+// UnnumberedEventError reports an answer that was to go on with a stream, but whose first event has no ID that shows its place in it.
+type UnnumberedEventError struct {
+	Last string
+}
+
+func (e *UnnumberedEventError) Error() string {
+	return fmt.Sprintf("router: unable to resume stream: expected an event after %q, got one without an ID", e.Last)
+}
+
 // isAfter reports whether an event ID follows another. Only numbers can be compared.
 func isAfter(id, last string) bool {
 	n, err := strconv.ParseUint(id, 10, 64)
@@ -112,6 +121,9 @@
 		if err != nil {
 			return err
 		}
+		if isContinued && rl.count == before && event.ID == "" && !event.IsComment {
+			return &UnnumberedEventError{Last: resumedAfter}
+		}
 		if !isAfter(event.ID, resumedAfter) {
 			return &RepeatedEventError{ID: event.ID, Last: resumedAfter}
 		}
--- a/transport/callers/router/stream_test.go
+++ b/transport/callers/router/stream_test.go
@@ -363,6 +363,33 @@
 	assert.EqualValues(t, 3, engine.runs.Load(), second)
 }
 
+// A stream broke off in its third event, and the next engine answered with an error in place of events. Its caller found the text of the
+// error, or all of its head, in the middle of the stream.
+func TestAResumedStreamHoldsNothingOfAnAnswerThatIsNoStream(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	const failed = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nfailed\n\n"
+	for _, second := range []string{
+		failed,
+		"HTTP/1.1 500 Internal Server Error\r\n\r\nfailed\n\n",
+		"HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.1 206 Partial Content\r\nContent-Type: text/event-stream\r\nContent-Length: 14\r\n\r\ndata: failed\n\n",
+		"HTTP/1.1 000\r\nContent-Type: text/event-stream\r\n\r\ndata: failed\n\n",
+		"noise", "HTTP/1.1 200 OK\r\nContent-Ty",
+		"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nfailed",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nfailed\n\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nfailed\n\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n\r\n<html>\n\nfailed</html>",
+		stream + "\r\n" + failed,
+		stream + "Content-Length: 91\r\n\r\n" + failed,
+		stream + "Content-Length: 27\r\n\r\nevent: error\ndata: failed\n\n",
+		stream + "Content-Length: 14\r\n\r\ndata: failed\n\n",
+	} {
+		requireResumedElsewhere(t, second)
+	}
+}
+
 func TestAResumedStreamThatEndsInsideAnEventIsResumedAgain(t *testing.T) {
 	whole := strings.Join(streamEvents, "")
 	first := len(streamEvents[0]) + 5
