--- a/transport/layers_test.go
+++ b/transport/layers_test.go
@@ -75,3 +75,14 @@
 		}
 	}, ".", "../parts", "../protocol", "../platform")
 }
+
+var httpClient = regexp.MustCompile(`http\.(Client|Transport)\{|http\.Default(Client|Transport)|http\.(Get|Post|Head|PostForm|ReadResponse)\(`)
+
+// The dialer checks the answers of all endpoints. Another client would pass on those that it refuses.
+func TestOnlyTheDialerCreatesHTTPClients(t *testing.T) {
+	eachSource(t, func(path, text string) {
+		if !isTest(path) && !strings.HasPrefix(path, "dialer/") {
+			assert.NotRegexp(t, httpClient, text, path)
+		}
+	}, ".", "../parts", "../protocol", "../platform")
+}
