Dialer: name the connection that checks its end endConn

It stands beside headConn, which checks the head, and most of its connections are not broken. Two more cases of held answers: an interim answer without a final one, and one before half a head. No change of behaviour.

--- a/transport/callers/router/answer_test.go
+++ b/transport/callers/router/answer_test.go
@@ -107,6 +107,8 @@
 	for n := range len(whole) {
 		requireBadGateway(t, whole[:n])
 	}
+	requireBadGateway(t, "HTTP/1.1 100 Continue\r\n\r\n")
+	requireBadGateway(t, "HTTP/1.1 103 Early Hints\r\nX-Engine: 1\r\n\r\n"+whole[:len(whole)-2])
 	for _, line := range []string{
 		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 \u0662\u0660\u0660 OK", "HTTP/1.1", "200 OK", "noise", "",
 	} {
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -71,7 +71,7 @@
 		Timeout:         ConnectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	return wrapConns(dialer.DialContext, newBrokenConn)
+	return wrapConns(dialer.DialContext, newEndConn)
 }
 
 // boundHeads bounds the head of the first answer on each connection.
@@ -101,10 +101,10 @@
 // Do sends r. Sent is false if no connection was established, so that the other side cannot have received any of r. The error is an
 // *InvalidAnswerError if there is an answer that must not be used.
 func (c *Client) Do(r *http.Request) (resp *http.Response, sent bool, err error) {
-	var connected atomic.Pointer[brokenConn]
+	var connected atomic.Pointer[endConn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn := brokenConnOf(info.Conn)
+			conn := endConnOf(info.Conn)
 			conn.setSending(true)
 			connected.Store(conn)
 		},
--- a/transport/dialer/broken.go
+++ b/transport/dialer/end.go
@@ -29,10 +29,10 @@
 	return "dialer: unable to read the answer to its end: " + e.Reason
 }
 
-// brokenConn is a connection that reports to its reader that it is broken. The kernel reports a reset to one system call only. If that is
+// endConn is a connection whose reader learns whether it ended regularly. The kernel reports a reset to one system call only. If that is
 // a write, or if the end of the other side's bytes came before the reset, the next read gets io.EOF, which is the regular end of an
 // answer without a length.
-type brokenConn struct {
+type endConn struct {
 	net.Conn
 	clock clockwork.Clock
 	// state returns what the kernel knows of the connection.
@@ -45,30 +45,30 @@
 	writeErr error
 }
 
-func newBrokenConn(conn net.Conn) net.Conn {
-	return &brokenConn{Conn: conn, clock: clockwork.NewRealClock(), state: func() tcpState { return tcpStateOf(conn) }}
+func newEndConn(conn net.Conn) net.Conn {
+	return &endConn{Conn: conn, clock: clockwork.NewRealClock(), state: func() tcpState { return tcpStateOf(conn) }}
 }
 
-// brokenConnOf returns the brokenConn below a connection of a client.
-func brokenConnOf(conn net.Conn) *brokenConn {
+// endConnOf returns the endConn of a connection that a client of this package uses.
+func endConnOf(conn net.Conn) *endConn {
 	if secured, ok := conn.(*tls.Conn); ok {
 		conn = secured.NetConn()
 	}
 	if head, ok := conn.(*headConn); ok {
 		conn = head.Conn
 	}
-	return conn.(*brokenConn)
+	return conn.(*endConn)
 }
 
 // setSending tells whether a request is being written.
-func (c *brokenConn) setSending(isSending bool) {
+func (c *endConn) setSending(isSending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isSending = isSending
 }
 
 // Write implements net.Conn.
-func (c *brokenConn) Write(b []byte) (int, error) {
+func (c *endConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	c.isWriting = true
 	c.mu.Unlock()
@@ -83,7 +83,7 @@
 }
 
 // Read implements net.Conn. The error is a *BrokenConnError in place of io.EOF if the connection is broken.
-func (c *brokenConn) Read(b []byte) (int, error) {
+func (c *endConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		if broken := c.checkEnd(); broken != nil {
@@ -95,7 +95,7 @@
 
 // checkEnd returns a *BrokenConnError if the connection is broken, once the other side has sent its last byte. It waits while the other
 // side has not received the whole request: if it has closed the connection, it answers the next bytes with a reset.
-func (c *brokenConn) checkEnd() error {
+func (c *endConn) checkEnd() error {
 	for waited := time.Duration(0); ; waited += endCheckInterval {
 		isReceived, err := c.isReceived()
 		if err != nil || isReceived || waited >= endCheckTimeout {
@@ -106,7 +106,7 @@
 }
 
 // isReceived reports whether the other side has received the whole request. The error is a *BrokenConnError.
-func (c *brokenConn) isReceived() (bool, error) {
+func (c *endConn) isReceived() (bool, error) {
 	c.mu.Lock()
 	isWritten, writeErr := !c.isSending && !c.isWriting, c.writeErr
 	c.mu.Unlock()
--- a/transport/dialer/broken_test.go
+++ b/transport/dialer/end_test.go
@@ -152,7 +152,7 @@
 	clock := clockwork.NewFakeClock()
 	var state atomic.Value
 	state.Store(tcpState{})
-	c := &brokenConn{Conn: endedConn{writeErr: writeErr}, clock: clock, state: func() tcpState { return state.Load().(tcpState) }}
+	c := &endConn{Conn: endedConn{writeErr: writeErr}, clock: clock, state: func() tcpState { return state.Load().(tcpState) }}
 	c.setSending(true)
 	result := make(chan error, 1)
 	go func() {
